Serve a request end to end between separate processes

Cause: the repository was empty; the whole path comes first, thin.

Conclusion: entry, gate, peer links, configuration from the log and announced targets work; quota, operations, membership and overload control are still open.

--- /dev/null
+++ b/packages/client/src/turmericrouter_client/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the log service and of the daemon admin interface."""
--- /dev/null
+++ b/packages/core/src/turmericrouter_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of turmericrouter, without input or output."""
--- /dev/null
+++ b/packages/core/src/turmericrouter_core/errors.py
@@ -0,0 +1,71 @@
+"""Exception tree of turmericrouter."""
+
+
+class TurmericError(Exception):
+    """Base class of every error that turmericrouter raises on purpose."""
+
+
+class SettingsError(TurmericError):
+    """A setting is missing, unknown or out of range."""
+
+
+class ConfigError(TurmericError):
+    """A configuration record or document is not valid."""
+
+
+class ConflictError(ConfigError):
+    """A publication was made from a revision that is no longer current."""
+
+    def __init__(self, scopes: tuple[str, ...]) -> None:
+        super().__init__(
+            'publication conflicts with newer changes of: ' + ', '.join(scopes)
+        )
+        self.scopes = scopes
+
+
+class ProtocolError(TurmericError):
+    """A peer sent a frame or message that does not follow the protocol."""
+
+
+class FrameTooLargeError(ProtocolError):
+    """A frame is longer than the agreed limit."""
+
+
+class LinkError(TurmericError):
+    """A link between two daemons failed."""
+
+
+class NotSentError(LinkError):
+    """The link failed before the frame left this process."""
+
+
+class LinkLostError(LinkError):
+    """The link failed after the frame may have left this process."""
+
+
+class LogServiceError(TurmericError):
+    """The platform's log service refused a request or could not be reached."""
+
+
+class AppendUnknownError(LogServiceError):
+    """An append got no answer, so the record may or may not be stored."""
+
+
+class TargetError(TurmericError):
+    """The local target failed to give a whole answer."""
+
+
+class TargetUnreachableError(TargetError):
+    """No connection to the target could be opened; nothing was sent."""
+
+
+class TargetBrokenError(TargetError):
+    """The target's connection broke while a request was in flight."""
+
+
+class LinkTimeoutError(LinkLostError):
+    """A peer did not answer in time; it may still handle the request."""
+
+
+class AnswerTooLargeError(TargetError):
+    """The target's answer is longer than the setting allows."""
--- /dev/null
+++ b/packages/daemon/src/turmericrouter_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The turmericrouter daemon."""
--- /dev/null
+++ b/packages/daemon/src/turmericrouter_daemon/application.py
@@ -0,0 +1,178 @@
+"""The daemon: its parts, started in order and stopped in reverse."""
+
+import asyncio
+import contextlib
+import gc
+import random
+import signal
+import time
+
+from turmericrouter_client.log_service import LogClient
+from turmericrouter_core.messages import Dispatch
+from turmericrouter_core.verdict import Refusal
+from turmericrouter_daemon.call import Answer
+from turmericrouter_daemon.call import Call
+from turmericrouter_daemon.config_sync import ConfigSync
+from turmericrouter_daemon.directory_sync import DirectorySync
+from turmericrouter_daemon.dispatch import Dispatcher
+from turmericrouter_daemon.entry import Entry
+from turmericrouter_daemon.gate import Gate
+from turmericrouter_daemon.local import LocalListener
+from turmericrouter_daemon.logs import open_log
+from turmericrouter_daemon.metrics import open_metrics
+from turmericrouter_daemon.peer import MessageRouter
+from turmericrouter_daemon.peer import PeerPool
+from turmericrouter_daemon.peer import PeerServer
+from turmericrouter_daemon.runtime import Runtime
+from turmericrouter_daemon.settings import Settings
+from turmericrouter_daemon.timers import SystemClock
+from turmericrouter_daemon.timers import TimerService
+from turmericrouter_daemon.tls import check_plain_allowed
+from turmericrouter_daemon.tls import TlsContexts
+
+# A second signal ends the process at once with this status.
+FORCED_EXIT_STATUS = 3
+
+
+class _NoQuota:
+    """Grants every token; replaced by the quota service."""
+
+    async def acquire(self, workspace: str) -> Refusal | None:
+        return None
+
+    def give_back(self, workspace: str) -> None:
+        return
+
+
+class _NoOperations:
+    """Starts every operation; replaced by the operation service."""
+
+    async def begin(self, call: Call) -> Answer | int:
+        return 0
+
+    async def finish(self, call: Call, nonce: int, answer: Answer) -> None:
+        return
+
+
+class Application:
+    """Builds all parts and runs them until a signal comes.
+
+    Args:
+        settings: Checked settings.
+
+    Raises:
+        SettingsError: TLS files cannot be read, or plain TCP is refused.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        check_plain_allowed(settings)
+        self._settings = settings
+        self._tls = TlsContexts(settings.tls)
+        self._runtime = self._make_runtime(settings)
+        self._signals = 0
+        self._stop_asked = asyncio.Event()
+        self._log_client = LogClient(
+            settings.platform.log_url,
+            timeout_s=settings.platform.timeout_s,
+        )
+        runtime = self._runtime
+        router = MessageRouter()
+        self._config = ConfigSync(runtime, self._log_client)
+        self._directory = DirectorySync(
+            runtime, self._config, self._log_client
+        )
+        self._gate = Gate(runtime, self._config)
+        self._peers = PeerPool(runtime, router, self._tls)
+        self._peer_server = PeerServer(runtime, router, self._tls)
+        dispatcher = Dispatcher(
+            runtime,
+            self._directory.directory,
+            self._gate,
+            self._peers,
+            _NoQuota(),
+            _NoOperations(),
+        )
+        self._entry = Entry(runtime, self._config, dispatcher, self._tls)
+        self._local = LocalListener(
+            runtime, self._config, self._gate, self._directory, dispatcher
+        )
+        router.register(Dispatch, self._gate.handle)
+
+    async def run(self) -> None:
+        """Start, serve until a signal comes, and stop gracefully."""
+        self._catch_signals()
+        await self.start()
+        await self._stop_asked.wait()
+        await self.stop()
+
+    async def start(self) -> None:
+        """Start all parts; callers are accepted last."""
+        await self._config.start()
+        await self._peer_server.start()
+        await self._local.start()
+        await self._entry.start()
+        # Objects made so far live as long as the process; collecting them
+        # again and again only adds latency.
+        gc.collect()
+        gc.freeze()
+        self._runtime.log.info('daemon_started', address=self._runtime.address)
+
+    async def stop(self) -> None:
+        """Announce leaving, finish what is in flight, and close."""
+        stop = self._settings.stop
+        self._runtime.log.info('daemon_stopping')
+        await self._directory.leave()
+        await asyncio.sleep(stop.announce_s)
+        self._entry.leave()
+        self._gate.leave()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(stop.drain_s):
+                await self._entry.drained()
+                await self._gate.drained()
+        await self._entry.stop()
+        await self._local.stop()
+        await self._peers.stop()
+        await self._peer_server.stop()
+        await self._config.stop()
+        await self._log_client.close()
+        self._runtime.log.info('daemon_stopped')
+
+    def _make_runtime(self, settings: Settings) -> Runtime:
+        host = settings.host
+        log = open_log(
+            settings.log,
+            host=f'{host.ip}:{host.peer_port}',
+            domain=host.domain,
+        )
+        rng = random.Random()
+        return Runtime(
+            settings=settings,
+            clock=SystemClock(),
+            timers=TimerService(log, rng),
+            rng=rng,
+            log=log,
+            metrics=open_metrics(settings.metrics),
+            incarnation=int(time.time() * 1000),
+        )
+
+    def _catch_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._on_stop_signal)
+        loop.add_signal_handler(signal.SIGHUP, self._on_reload_signal)
+
+    def _on_stop_signal(self) -> None:
+        self._signals += 1
+        if self._signals == 1:
+            self._stop_asked.set()
+            return
+        self._runtime.log.error('daemon_ended_by_second_signal')
+        raise SystemExit(FORCED_EXIT_STATUS)
+
+    def _on_reload_signal(self) -> None:
+        try:
+            self._tls.reload()
+        except Exception as error:
+            self._runtime.log.error('tls_reload_failed', error=str(error))
+        else:
+            self._runtime.log.info('tls_reloaded')
--- /dev/null
+++ b/packages/daemon/src/turmericrouter_daemon/call.py
@@ -0,0 +1,111 @@
+"""A request on its way through the daemon and its answer."""
+
+import dataclasses
+
+from turmericrouter_core.context import RequestContext
+from turmericrouter_core.identity import OperationId
+from turmericrouter_core.routing import NamedRoute
+from turmericrouter_core.verdict import Importance
+from turmericrouter_core.verdict import Reason
+from turmericrouter_core.verdict import status_of
+from turmericrouter_core.verdict import Verdict
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """An authorised request.
+
+    Args:
+        request_id: Id of the top-level request.
+        method: HTTP method.
+        path: Path with query.
+        headers: Headers that go to the target; no caller's key.
+        body: Whole body.
+        named_route: Route and its name.
+        workspace: Workspace, empty on a route open to all.
+        key_digest: Digest of the caller's key, empty without a key.
+        importance: Importance of the top-level request.
+        bucket: Shedding bucket of the top-level request.
+        deadline: Monotonic seconds.
+        depth: 0 for a top-level request.
+        retries_left: Retry allowance of the chain.
+        operation: Id of a non-idempotent request, else none.
+        parent: Context of the request that a nested call serves.
+    """
+
+    request_id: str
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    named_route: NamedRoute
+    workspace: str
+    key_digest: str
+    importance: Importance
+    bucket: int
+    deadline: float
+    depth: int = 0
+    retries_left: int = 0
+    operation: OperationId | None = None
+    parent: RequestContext | None = None
+
+    @property
+    def service(self) -> str:
+        """Return the service that serves the request."""
+        return self.named_route.route.service
+
+    @property
+    def is_top_level(self) -> bool:
+        """Return whether the request came from a caller."""
+        return self.parent is None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """What the caller gets.
+
+    Args:
+        verdict: Whether the request may have run.
+        reason: `served`, `replayed` or why it was refused.
+        status: HTTP status.
+        headers: Headers of the target's answer.
+        body: Whole body of the target's answer.
+        retry_after_s: Seconds to wait before another attempt.
+        retries_used: Retry allowance spent for this request.
+        detail: Text for people.
+    """
+
+    verdict: Verdict
+    reason: Reason
+    status: int
+    headers: Headers = ()
+    body: bytes = b''
+    retry_after_s: float | None = None
+    retries_used: int = 0
+    detail: str = ''
+
+    @property
+    def is_refusal(self) -> bool:
+        """Return whether there is no answer of a target."""
+        return self.reason not in (Reason.SERVED, Reason.REPLAYED)
+
+
+def refuse(
+    reason: Reason,
+    verdict: Verdict = Verdict.NOT_RUN,
+    *,
+    retry_after_s: float | None = None,
+    retries_used: int = 0,
+    detail: str = '',
+) -> Answer:
+    """Return the answer of a refusal."""
+    return Answer(
+        verdict,
+        reason,
+        status_of(reason),
+        retry_after_s=retry_after_s,
+        retries_used=retries_used,
+        detail=detail,
+    )
--- /dev/null
+++ b/packages/daemon/src/turmericrouter_daemon/settings.py
@@ -0,0 +1,339 @@
+"""Settings of the daemon: a TOML file, then environment, then flags.
+
+Units are in the names. Unknown names are refused and every mistake is
+reported with its file, name and allowed values, before a socket opens.
+"""
+
+from collections.abc import Mapping
+import pathlib
+import tomllib
+from typing import Annotated
+from typing import Any
+
+import msgspec
+
+from turmericrouter_core.errors import SettingsError
+
+ENVIRONMENT_PREFIX = 'TURMERIC_'
+
+Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+NotNegative = Annotated[int, msgspec.Meta(ge=0)]
+Count = Annotated[int, msgspec.Meta(ge=1)]
+
+
+class _Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Base of all sections; unknown names are refused."""
+
+
+class HostSettings(_Section, frozen=True):
+    """Where the daemon runs.
+
+    Args:
+        ip: IP address of the entry and peer listeners.
+        domain: Failure domain of the host.
+        entry_port: Port for callers.
+        peer_port: TCP and UDP port for other daemons.
+        local_port: Port of the listener for the local target.
+        admin_port: Port for operators.
+        peers: `IP:PORT` of daemons to contact first, may be empty.
+        local_ip: Loopback address of the listener for the local target.
+        peer_listen_port: TCP port that is bound instead of `peer_port`,
+            where traffic is forwarded from there; 0 for the same port.
+    """
+
+    ip: str
+    domain: str
+    entry_port: Port
+    peer_port: Port
+    local_port: Port
+    admin_port: Port
+    peers: tuple[str, ...] = ()
+    local_ip: str = '127.0.0.1'
+    peer_listen_port: Annotated[int, msgspec.Meta(ge=0, le=65535)] = 0
+
+
+class PlatformSettings(_Section, frozen=True):
+    """The platform's log service.
+
+    Args:
+        log_url: Base URL.
+        timeout_s: Seconds to wait for an answer.
+        long_poll_s: Seconds that a read waits for new records.
+        retention_s: Seconds for which the service keeps records.
+    """
+
+    log_url: str
+    timeout_s: Positive = 5.0
+    long_poll_s: Positive = 10.0
+    retention_s: Positive = 86_400.0
+
+
+class EntrySettings(_Section, frozen=True):
+    """Limits on callers.
+
+    Args:
+        max_body_bytes: Longest request body.
+        max_line_bytes: Longest request line.
+        max_field_bytes: Longest header field.
+        read_timeout_s: Seconds for a caller to send a whole body.
+        max_timeout_ms: Upper bound of `Turmeric-Timeout-Ms`.
+    """
+
+    max_body_bytes: Count = 1_048_576
+    max_line_bytes: Count = 8190
+    max_field_bytes: Count = 8190
+    read_timeout_s: Positive = 10.0
+    max_timeout_ms: Count = 60_000
+
+
+class TargetSettings(_Section, frozen=True):
+    """The local target.
+
+    Args:
+        connect_timeout_s: Seconds to open a connection.
+        max_answer_bytes: Longest answer body.
+        announcement_timeout_s: Seconds without an announcement after
+            which the target counts as gone.
+        connections: Upper bound of connections, 0 for the announced one.
+    """
+
+    connect_timeout_s: Positive = 1.0
+    max_answer_bytes: Count = 8_388_608
+    announcement_timeout_s: Positive = 5.0
+    connections: NotNegative = 0
+
+
+class LogSettings(_Section, frozen=True):
+    """Log output.
+
+    Args:
+        level: `debug`, `info`, `warning` or `error`.
+        file: Path of the log file; empty for standard error.
+        decisions: Whether to log a line per routing decision.
+    """
+
+    level: str = 'info'
+    file: str = ''
+    decisions: bool = True
+
+
+class MetricsSettings(_Section, frozen=True):
+    """Metrics by statsd over UDP; off without a host.
+
+    Args:
+        host: IP address of the statsd server.
+        port: UDP port.
+        prefix: Prefix of every metric.
+    """
+
+    host: str = ''
+    port: Port = 8125
+    prefix: str = 'turmeric'
+
+
+class TlsSettings(_Section, frozen=True):
+    """TLS; plain TCP is allowed on loopback or if `allow_plain` is set.
+
+    Args:
+        entry_certificate: PEM file for the entry listener.
+        entry_key: PEM file of its private key.
+        peer_certificate: PEM file for links between daemons.
+        peer_key: PEM file of its private key.
+        fleet_ca: PEM file of the CA that signs peers' certificates.
+        allow_plain: Allow plain TCP beyond loopback.
+    """
+
+    entry_certificate: str = ''
+    entry_key: str = ''
+    peer_certificate: str = ''
+    peer_key: str = ''
+    fleet_ca: str = ''
+    allow_plain: bool = False
+
+
+class ConfigSettings(_Section, frozen=True):
+    """Distribution of the configuration.
+
+    Args:
+        stale_after_s: Seconds without word from the log after which the
+            configuration may be stale.
+        readers_per_domain: Daemons of a domain that read the log.
+        push_fanout: Members that a new record is sent on to.
+        pull_period_s: Seconds between two pulls from a random member.
+    """
+
+    stale_after_s: Positive = 10.0
+    readers_per_domain: Count = 2
+    push_fanout: Count = 4
+    pull_period_s: Positive = 1.0
+
+
+class QuotaSettings(_Section, frozen=True):
+    """Quota tokens and the roster of their holders.
+
+    Args:
+        holders_per_domain: Most holder addresses per failure domain.
+        token_lifetime_ms: Milliseconds for which a drawn token holds.
+        draw_timeout_ms: Milliseconds to wait for a holder.
+        fence_after_s: Seconds without the log after which a holder that
+            sees at most half of its domain stops.
+        takeover_after_s: Seconds after which a dead holder is replaced.
+        max_pause_s: Longest pause of the event loop after which a holder
+            goes on without asking.
+    """
+
+    holders_per_domain: Count = 8
+    token_lifetime_ms: Count = 250
+    draw_timeout_ms: Count = 200
+    fence_after_s: Positive = 20.0
+    takeover_after_s: Positive = 60.0
+    max_pause_s: Positive = 5.0
+
+
+class OperationSettings(_Section, frozen=True):
+    """Single execution of non-idempotent requests.
+
+    Args:
+        retention_s: Seconds for which an operation is remembered.
+        max_clock_skew_ms: Bound of the difference between two hosts'
+            clocks.
+        max_id_ahead_ms: How far an id may be stamped ahead of the clock.
+        max_answer_bytes: Longest answer that is kept for replay.
+        home_timeout_ms: Milliseconds to wait for an operation home.
+    """
+
+    retention_s: Positive = 900.0
+    max_clock_skew_ms: NotNegative = 500
+    max_id_ahead_ms: NotNegative = 500
+    max_answer_bytes: Count = 65_536
+    home_timeout_ms: Count = 1000
+
+
+class MembershipSettings(_Section, frozen=True):
+    """Failure detection inside a failure domain.
+
+    Args:
+        probe_period_s: Seconds between two probes.
+        probe_timeout_s: Seconds to wait for an acknowledgement.
+        indirect_probes: Members asked to probe on our behalf.
+        suspicion_s: Seconds between suspicion and death.
+        bridges_per_domain: Members that exchange directories with other
+            domains.
+        exchange_period_s: Seconds between two exchanges of a bridge.
+        secret: Key of the HMAC on datagrams; empty only on loopback.
+    """
+
+    probe_period_s: Positive = 1.0
+    probe_timeout_s: Positive = 0.4
+    indirect_probes: Count = 3
+    suspicion_s: Positive = 4.0
+    bridges_per_domain: Count = 3
+    exchange_period_s: Positive = 1.0
+    secret: str = ''
+
+
+class OverloadSettings(_Section, frozen=True):
+    """Admission, shedding, retries and quarantine.
+
+    Args:
+        initial_limit: Concurrency limit of a target without known slots.
+        max_limit: Upper bound of the concurrency limit.
+        queue_per_limit: Queue length as a multiple of the limit.
+        queue_delay_target_ms: Queue delay that counts as overload.
+        queue_interval_ms: Interval for which the delay must stand.
+        level_window_ms: Window of the admission level's controller.
+        cold_start_s: Seconds over which the limit of a new target ramps.
+        shedding: Whether to refuse by admission level.
+        adaptive: Whether the concurrency limit adapts.
+        max_retries: Extra attempts per top-level request.
+        retry_ratio: Retries allowed per success.
+        retry_floor_per_s: Retries a second allowed without successes.
+        max_depth: Deepest call chain.
+        quarantine_s: Seconds for which crash marks are kept.
+        quarantine_crashes: Crashes that block a request.
+    """
+
+    initial_limit: Count = 16
+    max_limit: Count = 1000
+    queue_per_limit: Positive = 1.0
+    queue_delay_target_ms: Positive = 20.0
+    queue_interval_ms: Positive = 100.0
+    level_window_ms: Positive = 100.0
+    cold_start_s: Positive = 5.0
+    shedding: bool = True
+    adaptive: bool = True
+    max_retries: NotNegative = 2
+    retry_ratio: Positive = 0.1
+    retry_floor_per_s: Positive = 1.0
+    max_depth: Count = 16
+    quarantine_s: Positive = 600.0
+    quarantine_crashes: Count = 2
+
+
+class StopSettings(_Section, frozen=True):
+    """Graceful shutdown.
+
+    Args:
+        announce_s: Seconds between announcing the stop and refusing work.
+        drain_s: Most seconds to wait for requests in flight.
+    """
+
+    announce_s: Annotated[float, msgspec.Meta(ge=0)] = 0.5
+    drain_s: Positive = 30.0
+
+
+class Settings(_Section, frozen=True):
+    """All settings of one daemon."""
+
+    host: HostSettings
+    platform: PlatformSettings
+    entry: EntrySettings = EntrySettings()
+    target: TargetSettings = TargetSettings()
+    config: ConfigSettings = ConfigSettings()
+    quota: QuotaSettings = QuotaSettings()
+    operation: OperationSettings = OperationSettings()
+    membership: MembershipSettings = MembershipSettings()
+    overload: OverloadSettings = OverloadSettings()
+    log: LogSettings = LogSettings()
+    metrics: MetricsSettings = MetricsSettings()
+    tls: TlsSettings = TlsSettings()
+    stop: StopSettings = StopSettings()
+
+
+def load_settings(
+    path: pathlib.Path,
+    *,
+    environment: Mapping[str, str] | None = None,
+    overrides: Mapping[str, str] | None = None,
+) -> Settings:
+    """Read and check all settings.
+
+    Args:
+        path: TOML file.
+        environment: Variables; `TURMERIC_HOST__IP` sets `host.ip`.
+        overrides: Values by dotted name; they win over the environment.
+
+    Raises:
+        SettingsError: A setting is missing, unknown or out of range.
+    """
+    try:
+        tree: dict[str, Any] = tomllib.loads(path.read_text())
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        raise SettingsError(f'{path}: {error}') from error
+    for name, value in (environment or {}).items():
+        if name.startswith(ENVIRONMENT_PREFIX) and '__' in name:
+            short = name.removeprefix(ENVIRONMENT_PREFIX).lower()
+            _set(tree, short.split('__'), value)
+    for name, value in (overrides or {}).items():
+        _set(tree, name.split('.'), value)
+    try:
+        return msgspec.convert(tree, Settings, strict=False)
+    except msgspec.ValidationError as error:
+        raise SettingsError(f'{path}: {error}') from error
+
+
+def _set(tree: dict[str, Any], names: list[str], value: str) -> None:
+    for name in names[:-1]:
+        tree = tree.setdefault(name, {})
+    tree[names[-1]] = value
--- /dev/null
+++ b/packages/operator/src/turmericrouter_operator/__init__.py
@@ -0,0 +1,1 @@
+"""Operator library and the turmericctl command."""
--- /dev/null
+++ b/packages/standins/src/turmericrouter_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Development stand-ins, load tool and experiments."""
--- /dev/null
+++ b/packages/standins/src/turmericrouter_standins/fleet.py
@@ -0,0 +1,471 @@
+"""Starts a small fleet of real processes for tests and experiments.
+
+Every host has a loopback address of its own, `127.N.D.H`: N is drawn for the
+fleet so that fleets of concurrent test runs do not meet, D counts failure
+domains and H hosts. Ports are the same on all hosts.
+"""
+
+import asyncio
+from collections.abc import Mapping
+from collections.abc import Sequence
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+from typing import Any
+import uuid
+
+import aiohttp
+
+from turmericrouter_client.log_service import LogClient
+from turmericrouter_core.config import Change
+from turmericrouter_core.config import CONFIG_STREAM
+from turmericrouter_core.config import encode_record
+from turmericrouter_core.config import Held
+from turmericrouter_core.config import key_digest
+from turmericrouter_core.config import NEW_SCOPE
+from turmericrouter_core.config import Publication
+from turmericrouter_core.config import Value
+
+TARGET_PORT = 8000
+ENTRY_PORT = 8001
+PEER_PORT = 8002
+LOCAL_PORT = 8003
+ADMIN_PORT = 8004
+LOG_PORT = 8080
+READY_TIMEOUT_S = 20.0
+_POLL_S = 0.02
+
+SettingsTree = Mapping[str, Mapping[str, object]]
+
+
+class FleetError(Exception):
+    """The fleet did not come up, or a process ended by itself."""
+
+
+def _toml_value(value: object) -> str:
+    if isinstance(value, bool):
+        return 'true' if value else 'false'
+    if isinstance(value, str):
+        return json.dumps(value)
+    if isinstance(value, list | tuple):
+        return '[' + ', '.join(_toml_value(item) for item in value) + ']'
+    return str(value)
+
+
+def to_toml(tree: SettingsTree) -> str:
+    """Return sections of plain values as TOML."""
+    lines: list[str] = []
+    for section, values in tree.items():
+        lines.append(f'[{section}]')
+        lines += [f'{key} = {_toml_value(v)}' for key, v in values.items()]
+    return '\n'.join(lines) + '\n'
+
+
+def choose_network() -> int:
+    """Return a free second octet for the addresses of a fleet."""
+    candidates = list(range(2, 250))
+    random.SystemRandom().shuffle(candidates)
+    for octet in candidates:
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((f'127.{octet}.0.1', LOG_PORT))
+            return octet
+    raise FleetError('no free loopback network')
+
+
+class Process:
+    """One child process with its log file.
+
+    Args:
+        name: Name in messages and of the log file.
+        command: Arguments after the interpreter.
+        directory: Where the log file goes.
+    """
+
+    def __init__(
+        self, name: str, command: Sequence[str], directory: pathlib.Path
+    ) -> None:
+        self.name = name
+        self.output = directory / f'{name}.log'
+        self._command = [sys.executable, *command]
+        self._child: subprocess.Popen[bytes] | None = None
+
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        if self._child is None:
+            raise FleetError(f'{self.name} is not started')
+        return self._child.pid
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether the process runs."""
+        return self._child is not None and self._child.poll() is None
+
+    def start(self) -> None:
+        """Start the process; its output is appended to the log file."""
+        with self.output.open('ab') as output:
+            self._child = subprocess.Popen(
+                self._command,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+                env=dict(os.environ, PYTHONPATH=os.pathsep.join(sys.path)),
+            )
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal."""
+        if self._child is not None:
+            self._child.send_signal(number)
+
+    def kill(self) -> None:
+        """Kill the process at once and reap it."""
+        if self._child is not None:
+            self._child.kill()
+            self._child.wait()
+
+    async def wait(self, timeout_s: float) -> int:
+        """Wait for the process to end and return its status.
+
+        Raises:
+            FleetError: It still runs after the timeout.
+        """
+        assert self._child is not None
+        deadline = time.monotonic() + timeout_s
+        while self._child.poll() is None:
+            if time.monotonic() > deadline:
+                raise FleetError(f'{self.name} did not end')
+            await asyncio.sleep(_POLL_S)
+        return self._child.returncode
+
+
+@dataclasses.dataclass(slots=True)
+class Host:
+    """A target host with its daemon and target.
+
+    Args:
+        name: Name of the target.
+        service: Service of the target.
+        domain: Failure domain.
+        ip: Loopback address.
+        daemon: Daemon process.
+        target: Target process.
+    """
+
+    name: str
+    service: str
+    domain: str
+    ip: str
+    daemon: Process
+    target: Process
+
+    @property
+    def entry_url(self) -> str:
+        """Return the URL for callers."""
+        return f'http://{self.ip}:{ENTRY_PORT}'
+
+    @property
+    def target_url(self) -> str:
+        """Return the URL of the target itself, for its ledger."""
+        return f'http://{self.ip}:{TARGET_PORT}'
+
+    @property
+    def address(self) -> str:
+        """Return `IP:PORT` of the daemon's peer listener."""
+        return f'{self.ip}:{PEER_PORT}'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceSpec:
+    """A service of a fleet.
+
+    Args:
+        name: Name of the service.
+        per_domain: Targets in each failure domain.
+        slots: Slots of each target.
+        work_ms: Default work of a request in milliseconds.
+        extra: Further arguments of the target stand-in.
+    """
+
+    name: str
+    per_domain: int = 1
+    slots: int = 16
+    work_ms: float = 1.0
+    extra: tuple[str, ...] = ()
+
+
+class Fleet:
+    """Log service, daemons and targets as processes on loopback.
+
+    Args:
+        directory: Empty directory for settings and output.
+        domains: Names of the failure domains.
+        services: Services; each has targets in each domain.
+        settings: Daemon settings by section, added to the defaults.
+        log_options: Further arguments of the log service.
+    """
+
+    def __init__(
+        self,
+        directory: pathlib.Path,
+        domains: Sequence[str],
+        services: Sequence[ServiceSpec],
+        *,
+        settings: SettingsTree | None = None,
+        log_options: Sequence[str] = (),
+    ) -> None:
+        self.directory = directory
+        self.domains = tuple(domains)
+        self._network = choose_network()
+        self._settings = settings or {}
+        self.log_url = f'http://127.{self._network}.0.1:{LOG_PORT}'
+        self.log_service = Process(
+            'log-service',
+            [
+                '-m',
+                'turmericrouter_standins.log_service',
+                '--host',
+                f'127.{self._network}.0.1',
+                '--port',
+                str(LOG_PORT),
+                *log_options,
+            ],
+            directory,
+        )
+        self.hosts = [
+            self._make_host(domain_index, host_index, spec, copy)
+            for domain_index in range(len(domains))
+            for host_index, (spec, copy) in enumerate(
+                (spec, copy)
+                for spec in services
+                for copy in range(spec.per_domain)
+            )
+        ]
+        self.log_client = LogClient(self.log_url)
+        self._session: aiohttp.ClientSession | None = None
+        self._held: dict[str, Held] = {}
+
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """Return an HTTP session for calls to the fleet."""
+        if self._session is None:
+            connector = aiohttp.TCPConnector(limit=0)
+            self._session = aiohttp.ClientSession(connector=connector)
+        return self._session
+
+    def host(self, name: str) -> Host:
+        """Return a host by the name of its target."""
+        return next(host for host in self.hosts if host.name == name)
+
+    def in_domain(self, domain: str) -> list[Host]:
+        """Return the hosts of a failure domain."""
+        return [host for host in self.hosts if host.domain == domain]
+
+    async def __aenter__(self) -> 'Fleet':
+        await self.start()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.stop()
+
+    async def start(self) -> None:
+        """Start all processes and wait until they serve.
+
+        Raises:
+            FleetError: A process did not come up.
+        """
+        self.log_service.start()
+        await self.wait_for(f'{self.log_url}/stats')
+        for host in self.hosts:
+            host.daemon.start()
+            host.target.start()
+        for host in self.hosts:
+            await self.wait_for(f'{host.target_url}/_ledger')
+            await self.wait_for(host.entry_url)
+
+    async def stop(self) -> None:
+        """Kill whatever still runs."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+        await self.log_client.close()
+        for host in self.hosts:
+            host.daemon.kill()
+            host.target.kill()
+        self.log_service.kill()
+
+    async def wait_for(self, url: str) -> None:
+        """Wait until a URL answers anything at all.
+
+        Raises:
+            FleetError: It did not in time.
+        """
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < deadline:
+            with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                async with self.session.get(
+                    url, timeout=aiohttp.ClientTimeout(total=1)
+                ):
+                    return
+            await asyncio.sleep(_POLL_S)
+        raise FleetError(f'{url} did not answer')
+
+    async def publish(self, values: Mapping[str, Value | None]) -> int:
+        """Append a publication by scope and return its offset."""
+        changes = tuple(
+            Change(
+                scope,
+                self._held[scope].revision
+                if scope in self._held
+                else NEW_SCOPE,
+                value,
+            )
+            for scope, value in values.items()
+        )
+        publication = Publication(str(uuid.uuid4()), changes)
+        offset = await self.log_client.append(
+            CONFIG_STREAM, encode_record(publication)
+        )
+        for change in changes:
+            if change.value is None:
+                self._held.pop(change.scope, None)
+            else:
+                self._held[change.scope] = Held(offset, change.value)
+        return offset
+
+    async def call(
+        self,
+        host: Host,
+        path: str,
+        *,
+        key: str = '',
+        method: str = 'GET',
+        body: bytes = b'',
+        headers: Mapping[str, str] | None = None,
+        timeout_s: float = 30.0,
+    ) -> 'Reply':
+        """Send a request to a daemon's entry and return the whole reply."""
+        sent = dict(headers or {})
+        if key:
+            sent['Authorization'] = f'Bearer {key}'
+        async with self.session.request(
+            method,
+            host.entry_url + path,
+            data=body or None,
+            headers=sent,
+            timeout=aiohttp.ClientTimeout(total=timeout_s),
+        ) as response:
+            return Reply(
+                response.status,
+                dict(response.headers),
+                await response.read(),
+            )
+
+    async def wait_served(
+        self, path: str, *, key: str = '', hosts: Sequence[Host] | None = None
+    ) -> None:
+        """Wait until every entry serves a path.
+
+        Raises:
+            FleetError: An entry did not in time.
+        """
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        for host in self.hosts if hosts is None else hosts:
+            while (await self.call(host, path, key=key)).status != 200:
+                if time.monotonic() > deadline:
+                    raise FleetError(f'{host.name} does not serve {path}')
+                await asyncio.sleep(_POLL_S)
+
+    async def ledger(self, host: Host) -> dict[str, Any]:
+        """Return the ledger of a target."""
+        async with self.session.get(f'{host.target_url}/_ledger') as response:
+            ledger: dict[str, Any] = await response.json()
+            return ledger
+
+    async def set_log_faults(self, **faults: object) -> None:
+        """Switch the faults of the log service."""
+        async with self.session.put(f'{self.log_url}/faults', json=faults):
+            return
+
+    def _make_host(
+        self, domain_index: int, host_index: int, spec: ServiceSpec, copy: int
+    ) -> Host:
+        domain = self.domains[domain_index]
+        ip = f'127.{self._network}.{domain_index + 1}.{host_index + 1}'
+        name = f'{spec.name}-{domain}-{copy}'
+        path = self.directory / f'{name}.toml'
+        path.write_text(to_toml(self._daemon_settings(ip, domain)))
+        daemon = Process(
+            f'daemon-{name}',
+            ['-m', 'turmericrouter_daemon', str(path)],
+            self.directory,
+        )
+        target = Process(
+            f'target-{name}',
+            [
+                '-m',
+                'turmericrouter_standins.target',
+                f'--host={ip}',
+                f'--port={TARGET_PORT}',
+                f'--name={name}',
+                f'--service={spec.name}',
+                f'--daemon=http://{ip}:{LOCAL_PORT}',
+                f'--slots={spec.slots}',
+                f'--work-ms={spec.work_ms}',
+                *spec.extra,
+            ],
+            self.directory,
+        )
+        return Host(name, spec.name, domain, ip, daemon, target)
+
+    def _daemon_settings(self, ip: str, domain: str) -> SettingsTree:
+        tree: dict[str, dict[str, object]] = {
+            'host': {
+                'ip': ip,
+                'domain': domain,
+                'entry_port': ENTRY_PORT,
+                'peer_port': PEER_PORT,
+                'local_port': LOCAL_PORT,
+                'admin_port': ADMIN_PORT,
+                'local_ip': ip,
+            },
+            'platform': {'log_url': self.log_url},
+        }
+        for section, values in self._settings.items():
+            tree.setdefault(section, {}).update(values)
+        return tree
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """Reply of an entry to a call."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+    @property
+    def verdict(self) -> str:
+        """Return the verdict header."""
+        return self.headers.get('Turmeric-Verdict', '')
+
+    @property
+    def reason(self) -> str:
+        """Return the reason header, empty for an answer of a target."""
+        return self.headers.get('Turmeric-Reason', '')
+
+    def json(self) -> Any:
+        """Return the decoded body."""
+        return json.loads(self.body)
+
+
+def digest_scope(key: str) -> str:
+    """Return the configuration scope of a caller's key."""
+    return f'key/{key_digest(key)}'
--- /dev/null
+++ b/tests/system/test_request_path.py
@@ -0,0 +1,63 @@
+"""The whole request path between real processes."""
+
+import asyncio
+import pathlib
+
+from turmericrouter_core.config import Fleet as FleetRecord
+from turmericrouter_core.config import Key
+from turmericrouter_core.config import Route
+from turmericrouter_core.config import Value
+from turmericrouter_core.config import Workspace
+from turmericrouter_core.verdict import Importance
+from turmericrouter_standins.fleet import digest_scope
+from turmericrouter_standins.fleet import Fleet
+from turmericrouter_standins.fleet import ServiceSpec
+
+KEY = 'secret-key-of-east-wing'
+VALUES: dict[str, Value | None] = {
+    'fleet': FleetRecord(domains=('north', 'south')),
+    'workspace/east': Workspace(rate_per_s=1000, burst=1000),
+    digest_scope(KEY): Key('east'),
+    'route/catalogue': Route(
+        'design', '/catalogue', importance=Importance.LOW
+    ),
+    'route/status': Route('design', '/status', open_to_all=True),
+}
+
+
+def _fleet(directory: pathlib.Path) -> Fleet:
+    services = [ServiceSpec('design'), ServiceSpec('works')]
+    return Fleet(directory, ['north', 'south'], services)
+
+
+async def _check_path(directory: pathlib.Path) -> None:
+    async with _fleet(directory) as fleet:
+        await fleet.publish(VALUES)
+        await fleet.wait_served('/catalogue/1', key=KEY)
+        entry = fleet.host('works-north-0')
+        reply = await fleet.call(
+            entry, '/catalogue/1?echo=blue', key=KEY, method='POST', body=b'x'
+        )
+        assert (reply.status, reply.verdict) == (200, 'ran')
+        assert reply.json()['echo'] == 'blue'
+        assert reply.json()['workspace'] == 'east'
+        assert (await fleet.call(entry, '/status/1')).status == 200
+        refused = await fleet.call(entry, '/catalogue/1')
+        assert (refused.status, refused.verdict) == (401, 'not-run')
+        assert refused.reason == 'key-missing'
+        unknown = await fleet.call(entry, '/nowhere', key=KEY)
+        assert (unknown.status, unknown.reason) == (404, 'route-unknown')
+        await _check_key_hidden(fleet)
+
+
+async def _check_key_hidden(fleet: Fleet) -> None:
+    for host in fleet.hosts:
+        assert (await fleet.ledger(host))['violations'] == []
+    for path in fleet.directory.iterdir():
+        assert KEY not in path.read_text(), path.name
+
+
+def test_request_reaches_target_and_key_stays_at_entry(
+    tmp_path: pathlib.Path,
+) -> None:
+    asyncio.run(_check_path(tmp_path))
