--- a/packages/daemon/src/turmericrouter_daemon/application.py
+++ b/packages/daemon/src/turmericrouter_daemon/application.py
@@ -13,6 +13,7 @@
 from turmericrouter_daemon.call import Answer
 from turmericrouter_daemon.call import Call
 from turmericrouter_daemon.config_sync import ConfigSync
+from turmericrouter_daemon.decisions import DecisionLog
 from turmericrouter_daemon.directory_sync import DirectorySync
 from turmericrouter_daemon.dispatch import Dispatcher
 from turmericrouter_daemon.entry import Entry
@@ -151,6 +152,7 @@
             timers=TimerService(log, rng),
             rng=rng,
             log=log,
+            decisions=DecisionLog(log, enabled=settings.log.decisions),
             metrics=open_metrics(settings.metrics),
             incarnation=int(time.time() * 1000),
         )
--- a/packages/daemon/src/turmericrouter_daemon/dispatch.py
+++ b/packages/daemon/src/turmericrouter_daemon/dispatch.py
@@ -160,16 +160,15 @@
     def _log_attempt(
         self, call: Call, chosen: DirectoryEntry, outcome: Outcome
     ) -> None:
-        if self._runtime.settings.log.decisions:
-            self._runtime.log.info(
-                'request_routed',
-                request_id=call.request_id,
-                route=call.named_route.name,
-                target=chosen.target,
-                verdict=outcome.verdict,
-                reason=outcome.reason,
-                in_flight=outcome.load.in_flight,
-            )
+        self._runtime.decisions.record(
+            'request_routed',
+            request_id=call.request_id,
+            route=call.named_route.name,
+            target=chosen.target,
+            verdict=outcome.verdict,
+            reason=outcome.reason,
+            in_flight=outcome.load.in_flight,
+        )
 
 
 def _to_answer(outcome: Outcome) -> Answer:
--- a/packages/daemon/src/turmericrouter_daemon/entry.py
+++ b/packages/daemon/src/turmericrouter_daemon/entry.py
@@ -258,12 +258,11 @@
         self, request: web.BaseRequest, request_id: str, answer: Answer
     ) -> None:
         self._runtime.metrics.incr(f'entry.refused.{answer.reason}')
-        if self._runtime.settings.log.decisions:
-            self._runtime.log.info(
-                'request_refused',
-                request_id=request_id,
-                method=request.method,
-                path=request.path,
-                verdict=answer.verdict,
-                reason=answer.reason,
-            )
+        self._runtime.decisions.record(
+            'request_refused',
+            request_id=request_id,
+            method=request.method,
+            path=request.path,
+            verdict=answer.verdict,
+            reason=answer.reason,
+        )
--- a/packages/daemon/src/turmericrouter_daemon/runtime.py
+++ b/packages/daemon/src/turmericrouter_daemon/runtime.py
@@ -5,6 +5,7 @@
 
 from turmericrouter_core.clock import Clock
 from turmericrouter_core.clock import Timers
+from turmericrouter_daemon.decisions import DecisionLog
 from turmericrouter_daemon.logs import Log
 from turmericrouter_daemon.metrics import Metrics
 from turmericrouter_daemon.settings import Settings
@@ -21,6 +22,7 @@
         rng: Random numbers; ids that must not be guessed come from a
             system source instead.
         log: Logger.
+        decisions: Routing decisions.
         metrics: Metrics client.
         incarnation: Start time in milliseconds since the Unix epoch.
     """
@@ -30,6 +32,7 @@
     timers: Timers
     rng: random.Random
     log: Log
+    decisions: DecisionLog
     metrics: Metrics
     incarnation: int
 
