--- /dev/null
+++ b/tests/core/test_shedding.py
@@ -0,0 +1,144 @@
+"""Guards the admission level: order of shedding, cuts and recovery."""
+
+import random
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+
+from turmericrouter_core.messages import Level
+from turmericrouter_core.shedding import LevelController
+from turmericrouter_core.shedding import LevelSettings
+from turmericrouter_core.shedding import passes
+from turmericrouter_core.verdict import Importance
+
+WINDOW_S = 0.1
+
+
+class LevelMachine(RuleBasedStateMachine):
+    """Compares the controller with the extremes seen in each window."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.controller = LevelController(LevelSettings(WINDOW_S), 0.0)
+        self.ticks = 0
+        self.window = 0
+        self.admitted = (Importance.CRITICAL, -1)
+        self.refused: tuple[int, int] | None = None
+
+    @property
+    def now(self) -> float:
+        # Half a tick off the window's bounds, where rounding decides.
+        return (self.ticks + 0.5) * WINDOW_S / 8
+
+    @rule(ticks=st.integers(1, 40))
+    def advance(self, ticks: int) -> None:
+        self.ticks += ticks
+        if self.ticks // 8 != self.window:
+            self.window = self.ticks // 8
+            self.admitted = (Importance.CRITICAL, -1)
+            self.refused = None
+
+    @rule(
+        importance=st.sampled_from(Importance),
+        bucket=st.integers(0, 127),
+        queued=st.integers(0, 3),
+    )
+    def arrive(self, importance, bucket, queued) -> None:
+        level = self.controller.level(self.now)
+        passed = self.controller.arrived(self.now, importance, bucket, queued)
+        assert passed == passes(level, importance, bucket)
+        if passed:
+            self.admitted = max(self.admitted, (importance, bucket))
+        else:
+            self.refused = min(
+                self.refused or (importance, bucket), (importance, bucket)
+            )
+
+    @rule(delay_s=st.floats(0, 1), queued=st.integers(0, 3))
+    def start(self, delay_s: float, queued: int) -> None:
+        self.controller.started(self.now, delay_s, queued)
+
+    @rule(delay_s=st.floats(0, 1))
+    def overflow(self, delay_s: float) -> None:
+        self.controller.overflowed(self.now, delay_s)
+
+    @rule()
+    def recover(self) -> None:
+        self.advance(8 * 17)
+        assert self.controller.level(self.now) == Level()
+
+    @invariant()
+    def sheds_least_important_first(self) -> None:
+        assert self.refused is None or self.admitted < self.refused
+        assert (0, 16) <= _key(self.controller.level(self.now)) <= (4, 0)
+
+
+def _key(level: Level) -> tuple[int, int]:
+    return (level.importance, level.bucket)
+
+
+TestLevel = LevelMachine.TestCase
+TestLevel.settings = settings(
+    derandomize=True, max_examples=150, stateful_step_count=60, deadline=None
+)
+
+
+def _overload(
+    controller: LevelController, windows: int, start: int
+) -> list[float]:
+    """Return the share of low requests admitted per window.
+
+    A server of 20 requests a window gets 10 critical and 190 low ones.
+    """
+    rng = random.Random(1)
+    shares = []
+    for window in range(start, start + windows):
+        base = window * WINDOW_S + 1e-6
+        admitted = {Importance.CRITICAL: 0, Importance.LOW: 0}
+        for index in range(200):
+            now = base + index * WINDOW_S / 201
+            rank = Importance.LOW if index % 20 else Importance.CRITICAL
+            if controller.arrived(now, rank, rng.randrange(128), 4):
+                admitted[rank] += 1
+        now = base + WINDOW_S * 0.996
+        load = sum(admitted.values())
+        for index in range(min(load, 20)):
+            controller.started(now, 0.01, 4 if load > 20 else 19 - index)
+        for _ in range(load - 20):
+            controller.overflowed(now, 0.01)
+        assert admitted[Importance.CRITICAL] == 10
+        shares.append(admitted[Importance.LOW] / 190)
+    return shares
+
+
+def test_overload_cuts_low_to_capacity_and_spares_critical() -> None:
+    """Fails if a cut hits critical requests or overshoots for long."""
+    controller = LevelController(LevelSettings(WINDOW_S), 0.0)
+    shares = _overload(controller, 60, 0)
+    assert shares[0] == 1.0
+    # Capacity is left for 10 of 190 low requests.
+    settled = shares[10:]
+    assert 0.02 < sum(settled) / len(settled) < 0.12
+
+
+def test_level_returns_within_two_seconds() -> None:
+    """Fails if requests are shed long after an overload has ended."""
+    controller = LevelController(LevelSettings(WINDOW_S), 0.0)
+    _overload(controller, 20, 0)
+    assert controller.level(1.999) != Level()
+    for window in range(20, 40):
+        controller.arrived(window * WINDOW_S + 0.01, Importance.LOW, 127, 0)
+    assert controller.level(4.0) == Level()
+
+
+def test_burst_that_drains_within_a_window_sheds_nothing() -> None:
+    """Fails if a short burst is taken for overload."""
+    controller = LevelController(LevelSettings(WINDOW_S), 0.0)
+    for _ in range(50):
+        controller.arrived(0.01, Importance.LOW, 5, 3)
+        controller.overflowed(0.01, 0.05)
+    controller.started(0.09, 0.05, 0)
+    assert controller.level(0.15) == Level()
