Wire admission, limits and target state into the gate

Cause: The gate sent every request on, without a queue or limit, did not look at keys and retirements again, took late bytes of a kept-alive connection for the next answer, and never noticed a silent target. Ruled out: A task per waiting request (a future per waiting request is enough, and none when a slot is free). Telling a crash from a connection closed while idle by elapsed time (a target that still accepts connections has not crashed, so a fresh connection decides). Answers with bytes beyond their length as whole ones (either the length or the body is wrong).

--- a/packages/core/src/turmericrouter_core/admission.py
+++ b/packages/core/src/turmericrouter_core/admission.py
@@ -160,7 +160,7 @@
         self._running.discard(number)
         if number in self._waiting:
             self._remove(self._waiting[number])
-        return self.start(now, limit)
+        return self.start(now, limit) if self._waiting else _NOTHING
 
     def start(self, now: float, limit: int) -> Release:
         """Start requests that wait while slots are free."""
--- a/packages/core/src/turmericrouter_core/concurrency.py
+++ b/packages/core/src/turmericrouter_core/concurrency.py
@@ -108,6 +108,7 @@
         self._started_at = now
         self._upper = self._bound(slots, connections)
         self._value = float(min(slots or settings.initial, self._upper))
+        self._whole = int(self._value)
         self._references: dict[str, list[float]] = {}
         self._scale = 1.0
         self._probe: _Probe | None = None
@@ -127,14 +128,14 @@
             return self._upper
         age_s = now - self._started_at
         if age_s >= settings.cold_start_s:
-            return int(self._value)
+            return self._whole
         ramp = _RAMP_START + (1 - _RAMP_START) * age_s / settings.cold_start_s
         return max(settings.minimum, math.ceil(self._value * ramp))
 
     def announce(self, *, slots: int, connections: int) -> None:
         """Take over changed bounds; higher slots only raise the bound."""
         self._upper = self._bound(slots, connections)
-        self._value = min(self._value, float(self._upper))
+        self._set(self._value)
 
     def record(
         self,
@@ -244,6 +245,7 @@
     def _set(self, value: float) -> None:
         lowest = min(self._settings.minimum, self._upper)
         self._value = min(max(value, lowest), float(self._upper))
+        self._whole = int(self._value)
 
     def _reset(self, now: float) -> None:
         self._window_end = now + self._settings.window_s
--- a/packages/core/src/turmericrouter_core/errors.py
+++ b/packages/core/src/turmericrouter_core/errors.py
@@ -69,3 +69,15 @@
 
 class AnswerTooLargeError(TargetError):
     """The target's answer is longer than the setting allows."""
+
+
+class RequestInvalidError(TargetError):
+    """A request cannot be written as HTTP; nothing was sent."""
+
+
+class TargetStaleError(TargetError):
+    """The target had closed a kept-alive connection when it was reused."""
+
+
+class AnswerInvalidError(TargetError):
+    """The target's answer is not valid HTTP."""
--- a/packages/core/src/turmericrouter_core/fair_queue.py
+++ b/packages/core/src/turmericrouter_core/fair_queue.py
@@ -1,7 +1,8 @@
 """Waiting requests of one importance, shared fairly by workspaces."""
 
 import collections
-import dataclasses
+
+import msgspec
 
 from turmericrouter_core.verdict import Importance
 
@@ -9,10 +10,11 @@
 _MIN_COST_S = 0.001
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ticket:
+class Ticket(msgspec.Struct, frozen=True, gc=False):
     """A request before the target.
 
+    A struct, as one is made for each request and data classes cost more.
+
     Args:
         number: Identifies the request at this gate.
         workspace: Workspace that shares are kept for.
--- /dev/null
+++ b/packages/daemon/src/turmericrouter_daemon/crash_reporter.py
@@ -0,0 +1,31 @@
+"""Who is told of requests that were at the target when it crashed."""
+
+from collections.abc import Sequence
+from typing import Protocol
+
+from turmericrouter_core.messages import Dispatch
+
+
+class CrashReporter(Protocol):
+    """Is told of crashes of the target and of successes."""
+
+    def crashed(self, messages: Sequence[Dispatch], crash_id: str) -> None:
+        """Record requests whose connection broke.
+
+        Args:
+            messages: Requests in flight; one crash may be told in parts.
+            crash_id: The same for all requests of one crash.
+        """
+
+    def succeeded(self, message: Dispatch) -> None:
+        """Record a request that got a whole answer."""
+
+
+class NoCrashReporter:
+    """Drops everything; used without a quarantine."""
+
+    def crashed(self, messages: Sequence[Dispatch], crash_id: str) -> None:
+        """Drop a crash."""
+
+    def succeeded(self, message: Dispatch) -> None:
+        """Drop a success."""
--- a/packages/daemon/src/turmericrouter_daemon/gate.py
+++ b/packages/daemon/src/turmericrouter_daemon/gate.py
@@ -1,32 +1,40 @@
 """The gate: the only way to the local target."""
 
 import asyncio
-import secrets
+from collections.abc import Callable
 
+from turmericrouter_core.admission import Dropped
+from turmericrouter_core.admission import GateQueue
+from turmericrouter_core.admission import Placement
+from turmericrouter_core.admission import QueueSettings
+from turmericrouter_core.admission import Release
+from turmericrouter_core.config import Applied
 from turmericrouter_core.context import ContextTable
-from turmericrouter_core.context import RequestContext
-from turmericrouter_core.errors import AnswerTooLargeError
-from turmericrouter_core.errors import TargetBrokenError
-from turmericrouter_core.errors import TargetUnreachableError
-from turmericrouter_core.identity import CONTEXT_ID_BITS
+from turmericrouter_core.fair_queue import Ticket
 from turmericrouter_core.messages import Dispatch
 from turmericrouter_core.messages import GateLoad
 from turmericrouter_core.messages import Hello
 from turmericrouter_core.messages import Level
 from turmericrouter_core.messages import Outcome
+from turmericrouter_core.shedding import LevelController
+from turmericrouter_core.shedding import LevelSettings
+from turmericrouter_core.verdict import is_retryable
 from turmericrouter_core.verdict import Reason
 from turmericrouter_core.verdict import Verdict
 from turmericrouter_daemon.config_sync import ConfigSync
+from turmericrouter_daemon.crash_reporter import CrashReporter
+from turmericrouter_daemon.crash_reporter import NoCrashReporter
+from turmericrouter_daemon.delivery import CONTEXT_HEADER as CONTEXT_HEADER
+from turmericrouter_daemon.delivery import Delivered
+from turmericrouter_daemon.delivery import Delivery
+from turmericrouter_daemon.local_target import LocalTarget
+from turmericrouter_daemon.local_target import TargetState
 from turmericrouter_daemon.runtime import Runtime
-from turmericrouter_daemon.target import TargetAnswer
-from turmericrouter_daemon.target import TargetPool
-from turmericrouter_daemon.target import TargetRequest
 
-CONTEXT_HEADER = 'Turmeric-Context'
-TIMEOUT_HEADER = 'Turmeric-Timeout-Ms'
-WORKSPACE_HEADER = 'Turmeric-Workspace'
-REQUEST_ID_HEADER = 'Turmeric-Request-Id'
-OPERATION_HEADER = 'Idempotency-Key'
+# Levels move in windows of a tenth of a second; a few of them must pass
+# before another attempt has a better chance.
+_SHED_RETRY_AFTER_S = 0.5
+_CLOSED_RETRY_AFTER_S = 1.0
 
 
 class Gate:
@@ -35,45 +43,110 @@
     Args:
         runtime: Services of the process.
         config: Configuration in force.
+        crashes: Is told of crashes and successes.
     """
 
-    def __init__(self, runtime: Runtime, config: ConfigSync) -> None:
+    def __init__(
+        self,
+        runtime: Runtime,
+        config: ConfigSync,
+        crashes: CrashReporter | None = None,
+    ) -> None:
         self._runtime = runtime
+        self._clock = runtime.clock
         self._config = config
-        self._contexts = ContextTable()
-        self._pool: TargetPool | None = None
-        self._in_flight = 0
+        overload = runtime.settings.overload
+        self._shedding = overload.shedding
+        delay_target_s = overload.queue_delay_target_ms / 1000
+        self._queue = GateQueue(
+            QueueSettings(
+                per_limit=overload.queue_per_limit,
+                delay_target_s=delay_target_s,
+                interval_s=overload.queue_interval_ms / 1000,
+                plain=not overload.shedding,
+            )
+        )
+        self._levels = LevelController(
+            LevelSettings(overload.level_window_ms / 1000, delay_target_s),
+            self._clock.monotonic(),
+        )
+        self._target = LocalTarget(
+            runtime, lambda: self._drop_waiting(Reason.TARGET_UNREACHABLE)
+        )
+        self._target.on_state(self._on_target_state)
+        self._delivery = Delivery(
+            runtime,
+            config,
+            self._target,
+            self._queue,
+            crashes or NoCrashReporter(),
+        )
+        self._waiting: dict[int, asyncio.Future[Dropped | None]] = {}
+        self._last_number = 0
+        self._leaving = False
+        self._requests = 0
         self._idle = asyncio.Event()
         self._idle.set()
-        self._leaving = False
-        self._target = ''
+        config.on_config(self._on_config)
 
     @property
     def contexts(self) -> ContextTable:
         """Return the requests at the target, for nested calls."""
-        return self._contexts
+        return self._delivery.contexts
 
     @property
     def load(self) -> GateLoad:
         """Return the load that goes with every outcome."""
-        return GateLoad(Level(), self._in_flight, 0, 0)
-
-    def set_target(self, name: str, ip: str, port: int) -> None:
-        """Set the target after its announcement."""
-        settings = self._runtime.settings.target
-        if self._pool is not None:
-            self._pool.close()
-        self._target = name
-        self._pool = TargetPool(
-            ip,
-            port,
-            connect_timeout_s=settings.connect_timeout_s,
-            max_answer_bytes=settings.max_answer_bytes,
+        now = self._clock.monotonic()
+        return GateLoad(
+            self._levels.level(now) if self._shedding else Level(),
+            self._queue.in_flight,
+            self._queue.queued,
+            self._target.limit.limit(now),
+        )
+
+    @property
+    def target(self) -> LocalTarget:
+        """Return the local target."""
+        return self._target
+
+    def on_target_state(self, callback: Callable[[TargetState], None]) -> None:
+        """Subscribe to changes of the state of the local target."""
+        self._target.on_state(callback)
+
+    def set_target(
+        self,
+        name: str,
+        ip: str,
+        port: int,
+        *,
+        slots: int = 0,
+        connections: int = 0,
+        leaving: bool = False,
+        instance: str = '',
+    ) -> None:
+        """Take in an announcement of the target, also a repeated one.
+
+        Args:
+            name: Name of the target.
+            ip: IP address where it listens.
+            port: TCP port where it listens.
+            slots: Requests it runs at once, 0 if unknown.
+            connections: Connections it accepts, 0 if unknown.
+            leaving: It takes no new work.
+            instance: Differs after each start of the target, if given.
+        """
+        self._target.announce(
+            (name, ip, port, instance),
+            slots=slots,
+            connections=connections,
+            leaving=leaving,
         )
 
     def leave(self) -> None:
-        """Refuse new work from now on."""
+        """Refuse new and waiting work from now on."""
         self._leaving = True
+        self._drop_waiting(Reason.TARGET_LEAVING)
 
     async def drained(self) -> None:
         """Wait until no request is in flight."""
@@ -85,81 +158,201 @@
 
     async def run(self, message: Dispatch) -> Outcome:
         """Run a request, or refuse it."""
-        if self._leaving:
-            return self._refuse(Reason.TARGET_LEAVING)
-        if self._config.state.is_retired(message.target):
-            return self._refuse(Reason.TARGET_RETIRED)
-        if self._pool is None or message.target != self._target:
-            return self._refuse(Reason.TARGET_UNREACHABLE)
-        context = self._open_context(message)
-        self._in_flight += 1
+        reason = self._why_closed(message)
+        if reason is not None:
+            return self._refuse(message, reason, _CLOSED_RETRY_AFTER_S)
+        now = self._clock.monotonic()
+        if self._shedding and not self._levels.arrived(
+            now, message.importance, message.bucket, self._queue.queued
+        ):
+            return self._refuse(
+                message, Reason.SHED_AT_GATE, _SHED_RETRY_AFTER_S
+            )
+        ticket = self._ticket(message, now)
+        admission = self._queue.offer(
+            now, ticket, self._target.limit.limit(now)
+        )
+        if admission.dropped:
+            self._settle(now, Release(dropped=admission.dropped))
+        if admission.placement is Placement.REFUSED:
+            if admission.reason is Reason.QUEUE_FULL:
+                self._levels.overflowed(now, 0.0)
+            return self._refuse(
+                message, admission.reason, admission.retry_after_s
+            )
+        return await self._run_admitted(
+            message, ticket, admission.placement is Placement.WAITING
+        )
+
+    async def _run_admitted(
+        self, message: Dispatch, ticket: Ticket, waits: bool
+    ) -> Outcome:
+        self._requests += 1
         self._idle.clear()
-        clock = self._runtime.clock
-        started_at = clock.monotonic()
         try:
-            async with asyncio.timeout(message.timeout_ms / 1000):
-                answer = await self._pool.send(_to_target(message, context))
+            if waits:
+                refused = await self._wait(message, ticket)
+                if refused is not None:
+                    return refused
+            else:
+                self._levels.started(ticket.arrived_at, 0.0, 0)
+            delivered = await self._delivery.run(message, ticket.deadline)
+        finally:
+            self._release(ticket)
+        return self._outcome(message, delivered)
+
+    async def _wait(self, message: Dispatch, ticket: Ticket) -> Outcome | None:
+        """Wait for a slot; return a refusal, or none to start."""
+        had_key = self._config.state.key(message.key_digest) is not None
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[ticket.number] = future
+        # The limit may have risen since a slot became free last.
+        self._start(ticket.arrived_at)
+        try:
+            async with asyncio.timeout(ticket.deadline - ticket.arrived_at):
+                dropped = await future
         except TimeoutError:
-            return self._refuse(Reason.DEADLINE_EXPIRED, Verdict.MAY_HAVE_RUN)
-        except TargetUnreachableError:
-            return self._refuse(Reason.TARGET_UNREACHABLE)
-        except TargetBrokenError:
-            return self._refuse(Reason.TARGET_CRASHED, Verdict.MAY_HAVE_RUN)
-        except AnswerTooLargeError:
-            return self._refuse(
-                Reason.TARGET_ANSWER_TOO_LARGE, Verdict.MAY_HAVE_RUN
+            self._levels.overflowed(
+                self._clock.monotonic(), ticket.deadline - ticket.arrived_at
             )
+            return self._refuse(message, Reason.DEADLINE_EXPIRED)
         finally:
-            self._in_flight -= 1
-            if not self._in_flight:
-                self._idle.set()
-            self._contexts.close(context.context_id)
-        service_ms = (clock.monotonic() - started_at) * 1000
-        return self._served(answer, context, service_ms)
-
-    def _open_context(self, message: Dispatch) -> RequestContext:
-        now = self._runtime.clock.monotonic()
-        context = RequestContext(
-            context_id=secrets.token_hex(CONTEXT_ID_BITS // 8),
-            request_id=message.request_id,
-            workspace=message.workspace,
-            importance=message.importance,
-            bucket=message.bucket,
-            deadline=now + message.timeout_ms / 1000,
-            depth=message.depth,
-            retries_left=message.retries_left,
-            key_digest=message.key_digest,
+            del self._waiting[ticket.number]
+        if dropped is not None:
+            return self._refuse(message, dropped.reason, dropped.retry_after_s)
+        reason = self._why_closed(message)
+        if had_key and self._config.state.key(message.key_digest) is None:
+            reason = Reason.KEY_WITHDRAWN
+        return self._refuse(message, reason) if reason else None
+
+    def _ticket(self, message: Dispatch, now: float) -> Ticket:
+        workspace = self._config.state.workspace(message.workspace)
+        self._last_number += 1
+        return Ticket(
+            self._last_number,
+            message.workspace,
+            message.importance,
+            now,
+            now + message.timeout_ms / 1000,
+            self._target.service_times.expected(now, message.route),
+            workspace.weight if workspace else 1.0,
         )
-        self._contexts.open(context)
-        return context
 
-    def _served(
-        self, answer: TargetAnswer, context: RequestContext, service_ms: float
-    ) -> Outcome:
+    def _why_closed(self, message: Dispatch) -> Reason | None:
+        target = self._target
+        if self._leaving or target.state is TargetState.LEAVING:
+            return Reason.TARGET_LEAVING
+        if (
+            target.state is not TargetState.SERVING
+            or message.target != target.name
+        ):
+            return Reason.TARGET_UNREACHABLE
+        state = self._config.state
+        if state.is_retired(message.target):
+            return Reason.TARGET_RETIRED
+        if message.key_digest:
+            key = state.key(message.key_digest)
+            # A key that this daemon has not heard of yet was checked by
+            # the entry.
+            if key is not None and key.withdrawn:
+                return Reason.KEY_WITHDRAWN
+        return None
+
+    def _start(self, now: float) -> None:
+        limit = self._target.limit.limit(now)
+        if self._queue.in_flight < limit:
+            self._settle(now, self._queue.start(now, limit))
+
+    def _release(self, ticket: Ticket) -> None:
+        now = self._clock.monotonic()
+        limit = self._target.limit.limit(now)
+        release = self._queue.release(now, ticket.number, limit)
+        if release.started or release.dropped:
+            self._settle(now, release)
+        self._requests -= 1
+        if not self._requests:
+            self._idle.set()
+
+    def _settle(self, now: float, release: Release) -> None:
+        """Wake the requests that a decision of the queue is about."""
+        queued = self._queue.queued
+        for ticket in release.started:
+            self._levels.started(now, now - ticket.arrived_at, queued)
+            self._wake(ticket.number, None)
+        for dropped in release.dropped:
+            self._levels.overflowed(now, dropped.waited_s)
+            self._wake(dropped.number, dropped)
+
+    def _wake(self, number: int, dropped: Dropped | None) -> None:
+        future = self._waiting.get(number)
+        # A request that was cancelled meanwhile gives its slot back itself.
+        if future is not None and not future.done():
+            future.set_result(dropped)
+
+    def _drop_waiting(self, reason: Reason) -> None:
+        now = self._clock.monotonic()
+        for dropped in self._queue.drop_waiting(
+            now, reason, _CLOSED_RETRY_AFTER_S
+        ):
+            self._wake(dropped.number, dropped)
+
+    def _on_config(self, applied: Applied) -> None:
+        if self._config.state.is_retired(self._target.name):
+            self._drop_waiting(Reason.TARGET_RETIRED)
+
+    def _on_target_state(self, state: TargetState) -> None:
+        if state is TargetState.LEAVING:
+            self._drop_waiting(Reason.TARGET_LEAVING)
+        elif state is TargetState.LOST:
+            self._drop_waiting(Reason.TARGET_UNREACHABLE)
+
+    def _outcome(self, message: Dispatch, delivered: Delivered) -> Outcome:
+        answer = delivered.answer
+        if answer is None:
+            retryable = is_retryable(delivered.verdict, delivered.reason)
+            return self._refuse(
+                message,
+                delivered.reason,
+                _CLOSED_RETRY_AFTER_S if retryable else 0.0,
+                verdict=delivered.verdict,
+                retries_used=delivered.retries_used,
+            )
         return Outcome(
-            Verdict.RAN,
-            Reason.SERVED,
+            delivered.verdict,
+            delivered.reason,
             answer.status,
             answer.headers,
             answer.body,
             self.load,
-            retries_used=context.retries_used,
-            service_ms=service_ms,
+            retries_used=delivered.retries_used,
+            service_ms=delivered.service_s * 1000,
         )
 
     def _refuse(
-        self, reason: Reason, verdict: Verdict = Verdict.NOT_RUN
+        self,
+        message: Dispatch,
+        reason: Reason,
+        retry_after_s: float = 0.0,
+        *,
+        verdict: Verdict = Verdict.NOT_RUN,
+        retries_used: int = 0,
     ) -> Outcome:
-        return Outcome(verdict, reason, 0, (), b'', self.load)
-
-
-def _to_target(message: Dispatch, context: RequestContext) -> TargetRequest:
-    headers = message.headers + (
-        (CONTEXT_HEADER, context.context_id),
-        (REQUEST_ID_HEADER, message.request_id),
-        (TIMEOUT_HEADER, str(message.timeout_ms)),
-        (WORKSPACE_HEADER, message.workspace),
-    )
-    if message.operation_id:
-        headers += ((OPERATION_HEADER, message.operation_id),)
-    return TargetRequest(message.method, message.path, headers, message.body)
+        self._runtime.metrics.incr(f'gate.refused.{reason}')
+        self._runtime.decisions.record(
+            'gate_refused',
+            request_id=message.request_id,
+            target=message.target,
+            importance=message.importance.name,
+            verdict=verdict,
+            reason=reason,
+        )
+        return Outcome(
+            verdict,
+            reason,
+            0,
+            (),
+            b'',
+            self.load,
+            retries_used=retries_used,
+            retry_after_ms=int(retry_after_s * 1000),
+        )
--- a/packages/daemon/src/turmericrouter_daemon/local.py
+++ b/packages/daemon/src/turmericrouter_daemon/local.py
@@ -34,6 +34,7 @@
         connections: Connections it accepts, 0 if unknown.
         leaving: It takes no new work.
         load: Reported load, a hint only.
+        instance: Differs after each start of the target, if given.
     """
 
     name: str
@@ -43,6 +44,7 @@
     connections: int = 0
     leaving: bool = False
     load: float = 0.0
+    instance: str = ''
 
 
 class LocalListener:
@@ -111,9 +113,16 @@
             )
         except msgspec.MsgspecError as error:
             return to_response(refuse(Reason.MALFORMED, detail=str(error)), '')
-        if announcement.name != (self._announced and self._announced.name):
-            ip, _, port = announcement.address.rpartition(':')
-            self._gate.set_target(announcement.name, ip, int(port))
+        ip, _, port = announcement.address.rpartition(':')
+        self._gate.set_target(
+            announcement.name,
+            ip,
+            int(port),
+            slots=announcement.slots,
+            connections=announcement.connections,
+            leaving=announcement.leaving,
+            instance=announcement.instance,
+        )
         self._announced = announcement
         leaving = announcement.leaving
         await self._directory.update(
--- a/packages/daemon/src/turmericrouter_daemon/target.py
+++ b/packages/daemon/src/turmericrouter_daemon/target.py
@@ -1,32 +1,38 @@
 """HTTP connections to the local target.
 
 The gate writes requests itself and reads answers with aiohttp's response
-parser on a small pool of kept-alive connections; a client session costs
-several times as much per call.
+parser; a client session costs several times as much per call.
 """
 
 import asyncio
 import contextlib
-import dataclasses
+import functools
+import re
 from typing import Any
 
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.http import HttpResponseParser
 from aiohttp.http_exceptions import HttpProcessingError
+import msgspec
 
+from turmericrouter_core.errors import AnswerInvalidError
 from turmericrouter_core.errors import AnswerTooLargeError
+from turmericrouter_core.errors import RequestInvalidError
 from turmericrouter_core.errors import TargetBrokenError
-from turmericrouter_core.errors import TargetUnreachableError
+from turmericrouter_core.errors import TargetError
 
 # Header bytes pass through unchanged, whatever they mean.
 HEADER_ENCODING = 'latin-1'
 _READ_BUFFER_BYTES = 65_536
-_IDLE_LIMIT_S = 10.0
-_UNSAFE = ('\r', '\n', '\0')
+_HEAD_END = b'\r\n\r\n'
+_MAX_HEAD_BYTES = 65_536
+_FIRST_FINAL_STATUS = 200
+_BODYLESS_STATUSES = frozenset({204, 304})
+_TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_is_path = re.compile(r'/[^\x00-\x20\x7f]*|\*').fullmatch
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TargetRequest:
+class TargetRequest(msgspec.Struct, frozen=True):
     """A request as it goes to the target.
 
     Args:
@@ -34,16 +40,18 @@
         path: Path with query.
         headers: Name and value pairs, without length and connection.
         body: Whole body.
+        idempotent: Whether it may be sent again on another connection if
+            the target had closed the first one.
     """
 
     method: str
     path: str
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    idempotent: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TargetAnswer:
+class TargetAnswer(msgspec.Struct, frozen=True):
     """Whole answer of the target."""
 
     status: int
@@ -51,18 +59,44 @@
     body: bytes
 
 
-def _serialize(request: TargetRequest, host: str) -> bytes:
-    lines = [f'{request.method} {request.path} HTTP/1.1', f'Host: {host}']
-    lines += [f'{name}: {value}' for name, value in request.headers]
-    lines.append(f'Content-Length: {len(request.body)}')
-    for line in lines:
-        if any(character in line for character in _UNSAFE):
-            raise TargetUnreachableError('a header holds a line break')
-    head = '\r\n'.join(lines) + '\r\n\r\n'
-    return head.encode(HEADER_ENCODING) + request.body
+@functools.lru_cache(maxsize=4096)
+def _is_token(text: str) -> bool:
+    return _TOKEN.fullmatch(text) is not None
 
 
-class _Connection(BaseProtocol):
+def serialize(request: TargetRequest, host: str) -> bytes:
+    """Return a request as it goes over the connection.
+
+    Raises:
+        RequestInvalidError: A part of it would change its meaning.
+    """
+    headers = request.headers
+    fields = ''.join([f'{name}: {value}\r\n' for name, value in headers])
+    if (
+        not _is_token(request.method)
+        or not _is_path(request.path)
+        or not all(_is_token(name) for name, _ in headers)
+        # One search over all fields costs less than one per field.
+        or not len(headers) == fields.count('\r') == fields.count('\n')
+        or '\0' in fields
+    ):
+        raise RequestInvalidError('method, path or a header is not valid')
+    try:
+        path = request.path.encode('utf-8', 'surrogateescape')
+        encoded = fields.encode(HEADER_ENCODING)
+    except UnicodeEncodeError as error:
+        raise RequestInvalidError('not encodable') from error
+    return b'%s %s HTTP/1.1\r\nHost: %s\r\n%sContent-Length: %d\r\n\r\n%s' % (
+        request.method.encode(),
+        path,
+        host.encode(),
+        encoded,
+        len(request.body),
+        request.body,
+    )
+
+
+class TargetConnection(BaseProtocol):
     """One connection, used for one request at a time."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -70,8 +104,17 @@
         self._parser: Any = None
         self._head: asyncio.Future[Any] | None = None
         self._payload: Any = None
-        self._received = False
+        self._error: TargetError | None = None
+        # Received bytes up to the end of the head, then only counted: an
+        # answer must end exactly where its length says, or bytes of it
+        # would be taken for the next answer.
+        self._head_bytes = b''
+        self._head_length = 0
+        self._received = 0
+        self._last_bytes = b''
+        self._interim = False
         self.reusable = False
+        self.used = False
         self.idle_since = 0.0
 
     @property
@@ -82,22 +125,29 @@
     @property
     def received_any(self) -> bool:
         """Return whether any byte of the current answer has come."""
-        return self._received
+        return self._received > 0
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser."""
         if self._parser is None:
             # Bytes without a request: the connection cannot be trusted.
-            self.close()
+            if data:
+                self.close()
+            return
+        if data:
+            self._count(data)
+        elif self._payload is not None and self._payload.is_eof():
+            # The base class feeds empty data when it resumes reading.
             return
-        self._received = True
         try:
             messages, _, _ = self._parser.feed_data(data)
         except HttpProcessingError as error:
-            self._break(f'invalid answer: {error}')
+            self._break(AnswerInvalidError(f'invalid answer: {error}'))
             return
         for message, payload in messages:
-            if message.code >= 200 and self._head and not self._head.done():
+            if message.code < _FIRST_FINAL_STATUS:
+                self._interim = True
+            elif self._head and not self._head.done():
                 self._payload = payload
                 self._head.set_result((message, payload))
 
@@ -107,7 +157,7 @@
         if self._parser is not None:
             with contextlib.suppress(HttpProcessingError):
                 self._parser.feed_eof()
-        self._break('the connection was lost')
+        self._break(TargetBrokenError('the connection was lost'))
 
     def close(self) -> None:
         """Close at once."""
@@ -122,31 +172,73 @@
 
         Raises:
             TargetBrokenError: The answer is missing or not whole.
+            AnswerInvalidError: The answer is not valid HTTP.
             AnswerTooLargeError: The answer is too long.
         """
         if self.transport is None:
             raise TargetBrokenError('the connection is closed')
-        self.reusable = False
-        self._received = False
-        self._head = self._loop.create_future()
-        self._parser = HttpResponseParser(
-            self,
-            self._loop,
-            _READ_BUFFER_BYTES,
-            response_with_body=method != 'HEAD',
-            auto_decompress=False,
-        )
+        self._begin(method)
         self.transport.write(data)
+        assert self._head is not None
         message, payload = await self._head
         body = await self._read(payload, max_answer_bytes)
         self._parser = self._head = self._payload = None
-        self.reusable = not message.should_close and self.is_open
+        self.used = True
+        excess = self._excess_bytes(message, method)
+        if excess:
+            # The length or the answer is wrong; which one is not known.
+            raise AnswerInvalidError('bytes beyond the end of the answer')
+        self.reusable = (
+            not message.should_close and self.is_open and excess == 0
+        )
         headers = tuple(
             (name.decode(HEADER_ENCODING), value.decode(HEADER_ENCODING))
             for name, value in message.raw_headers
         )
         return TargetAnswer(message.code, headers, body)
 
+    def _begin(self, method: str) -> None:
+        self.reusable = False
+        self._error = None
+        self._received = 0
+        self._head_length = 0
+        self._head_bytes = b''
+        self._last_bytes = b''
+        self._interim = False
+        self._head = self._loop.create_future()
+        self._parser = HttpResponseParser(
+            self,
+            self._loop,
+            _READ_BUFFER_BYTES,
+            response_with_body=method != 'HEAD',
+            auto_decompress=False,
+        )
+
+    def _count(self, data: bytes) -> None:
+        self._received += len(data)
+        self._last_bytes = data[-len(_HEAD_END) :]
+        if self._head_length or len(self._head_bytes) > _MAX_HEAD_BYTES:
+            return
+        if self._head_bytes:
+            data = self._head_bytes + data
+        end = data.find(_HEAD_END)
+        if end < 0:
+            self._head_bytes = data
+        else:
+            self._head_length = end + len(_HEAD_END)
+
+    def _excess_bytes(self, message: Any, method: str) -> int | None:
+        """Return the bytes beyond the answer, none if that is unknown."""
+        if self._interim or not self._head_length:
+            return None
+        rest = self._received - self._head_length
+        if method == 'HEAD' or message.code in _BODYLESS_STATUSES:
+            return rest
+        if message.chunked:
+            return 0 if self._last_bytes == _HEAD_END else None
+        length = message.headers.get('Content-Length', '')
+        return rest - int(length) if length.isdecimal() else None
+
     async def _read(self, payload: Any, limit: int) -> bytes:
         chunks: list[bytes] = []
         size = 0
@@ -154,96 +246,25 @@
             try:
                 chunk = await payload.readany()
             except Exception as error:
-                raise TargetBrokenError(repr(error)) from error
+                if self._error is not None:
+                    raise self._error from error
+                kind = (
+                    AnswerInvalidError if self.is_open else TargetBrokenError
+                )
+                raise kind(repr(error)) from error
             size += len(chunk)
             if size > limit:
                 raise AnswerTooLargeError(f'answer of over {limit} bytes')
             chunks.append(chunk)
         return b''.join(chunks)
 
-    def _break(self, text: str) -> None:
-        error = TargetBrokenError(text)
+    def _break(self, error: TargetError) -> None:
+        if self._error is None:
+            self._error = error
         if self._head is not None and not self._head.done():
-            self._head.set_exception(error)
+            self._head.set_exception(self._error)
+            # Whoever waited may have been cancelled meanwhile.
+            self._head.exception()
         if self._payload is not None and not self._payload.is_eof():
-            self._payload.set_exception(error)
+            self._payload.set_exception(self._error)
         self.close()
-
-
-class TargetPool:
-    """Kept-alive connections to one target.
-
-    Args:
-        ip: IP address of the target.
-        port: TCP port of the target.
-        connect_timeout_s: Seconds to open a connection.
-        max_answer_bytes: Longest answer body.
-    """
-
-    def __init__(
-        self,
-        ip: str,
-        port: int,
-        *,
-        connect_timeout_s: float,
-        max_answer_bytes: int,
-    ) -> None:
-        self._ip = ip
-        self._port = port
-        self._connect_timeout_s = connect_timeout_s
-        self._max_answer_bytes = max_answer_bytes
-        self._idle: list[_Connection] = []
-        self._open = 0
-
-    @property
-    def open_connections(self) -> int:
-        """Return the connections that stand, idle ones included."""
-        return self._open + len(self._idle)
-
-    async def send(self, request: TargetRequest) -> TargetAnswer:
-        """Send a request and return the whole answer.
-
-        Raises:
-            TargetUnreachableError: Nothing was sent.
-            TargetBrokenError: The request may have run.
-            AnswerTooLargeError: The request ran; its answer is too long.
-        """
-        data = _serialize(request, f'{self._ip}:{self._port}')
-        connection = await self._acquire()
-        self._open += 1
-        try:
-            return await connection.exchange(
-                data, request.method, self._max_answer_bytes
-            )
-        finally:
-            self._open -= 1
-            self._release(connection)
-
-    def close(self) -> None:
-        """Close idle connections."""
-        while self._idle:
-            self._idle.pop().close()
-
-    async def _acquire(self) -> _Connection:
-        loop = asyncio.get_running_loop()
-        while self._idle:
-            connection = self._idle.pop()
-            fresh = loop.time() - connection.idle_since < _IDLE_LIMIT_S
-            if connection.is_open and connection.reusable and fresh:
-                return connection
-            connection.close()
-        try:
-            async with asyncio.timeout(self._connect_timeout_s):
-                _, connection = await loop.create_connection(
-                    lambda: _Connection(loop), self._ip, self._port
-                )
-        except (OSError, TimeoutError) as error:
-            raise TargetUnreachableError(repr(error)) from error
-        return connection
-
-    def _release(self, connection: _Connection) -> None:
-        if connection.reusable and connection.is_open:
-            connection.idle_since = asyncio.get_running_loop().time()
-            self._idle.append(connection)
-        else:
-            connection.close()
