Keep the target stand-in's ledger in a file

Cause: a crash of a target stand-in lost its ledger, so a request that ran just before the crash could not be checked.

Ruled out: sending entries to a separate collector, which can lose the last ones as well.

Conclusion: at-most-once checks can count requests across crashes.

--- a/packages/standins/src/turmericrouter_standins/fleet.py
+++ b/packages/standins/src/turmericrouter_standins/fleet.py
@@ -33,6 +33,8 @@
 from turmericrouter_core.config import NEW_SCOPE
 from turmericrouter_core.config import Publication
 from turmericrouter_core.config import Value
+from turmericrouter_standins.ledger import LedgerEntry
+from turmericrouter_standins.ledger import read_ledger
 
 TARGET_PORT = 8000
 ENTRY_PORT = 8001
@@ -173,7 +175,7 @@
 
     @property
     def target_url(self) -> str:
-        """Return the URL of the target itself, for its ledger."""
+        """Return the URL of the target itself."""
         return f'http://{self.ip}:{TARGET_PORT}'
 
     @property
@@ -287,7 +289,7 @@
             host.daemon.start()
             host.target.start()
         for host in self.hosts:
-            await self.wait_for(f'{host.target_url}/_ledger')
+            await self.wait_for(f'{host.target_url}/_health')
             await self.wait_for(host.entry_url)
 
     async def stop(self) -> None:
@@ -383,11 +385,12 @@
                     raise FleetError(f'{host.name} does not serve {path}')
                 await asyncio.sleep(_POLL_S)
 
-    async def ledger(self, host: Host) -> dict[str, Any]:
-        """Return the ledger of a target."""
-        async with self.session.get(f'{host.target_url}/_ledger') as response:
-            ledger: dict[str, Any] = await response.json()
-            return ledger
+    def ledger(self, host: Host) -> list[LedgerEntry]:
+        """Return what a target has started, over all its processes."""
+        return list(read_ledger(self._ledger_path(host.name)))
+
+    def _ledger_path(self, name: str) -> pathlib.Path:
+        return self.directory / f'{name}.ledger'
 
     async def set_log_faults(self, **faults: object) -> None:
         """Switch the faults of the log service."""
@@ -417,6 +420,7 @@
                 f'--name={name}',
                 f'--service={spec.name}',
                 f'--daemon=http://{ip}:{LOCAL_PORT}',
+                f'--ledger={self._ledger_path(name)}',
                 f'--slots={spec.slots}',
                 f'--work-ms={spec.work_ms}',
                 *spec.extra,
--- a/packages/standins/src/turmericrouter_standins/target.py
+++ b/packages/standins/src/turmericrouter_standins/target.py
@@ -3,7 +3,8 @@
 It announces itself to its daemon's local listener and repeats this as a
 heartbeat. Requests carry their behaviour in the query: `work_ms`, `nested`
 (path called through the daemon), `crash`. Every request that starts is
-written to a ledger, which `GET /_ledger` returns. Run it with `python -m`.
+written to a ledger file first, so that it outlives a crash. Run it with
+`python -m`.
 """
 
 import argparse
@@ -11,6 +12,7 @@
 import contextlib
 import hashlib
 import os
+import pathlib
 import random
 import signal
 import time
@@ -18,6 +20,9 @@
 import aiohttp
 from aiohttp import web
 
+from turmericrouter_standins.ledger import Ledger
+from turmericrouter_standins.ledger import LedgerEntry
+
 _ANNOUNCE_PERIOD_S = 1.0
 _FORBIDDEN_HEADERS = ('Authorization',)
 CONTEXT_HEADER = 'Turmeric-Context'
@@ -35,8 +40,7 @@
         self._options = options
         self._rng = random.Random(options.seed)
         self._slots = asyncio.Semaphore(options.slots)
-        self._ledger: list[dict[str, object]] = []
-        self._violations: list[str] = []
+        self._ledger = Ledger(pathlib.Path(options.ledger))
         self._running = 0
         self._leaving = False
         self._speed = 1.0
@@ -46,7 +50,7 @@
     def application(self) -> web.Application:
         """Return the HTTP application."""
         app = web.Application()
-        app.router.add_get('/_ledger', self._show_ledger)
+        app.router.add_get('/_health', self._health)
         app.router.add_put('/_speed', self._set_speed)
         app.router.add_put('/_leave', self._leave)
         app.router.add_route('*', '/{path:.*}', self._serve)
@@ -92,9 +96,8 @@
 
     async def _serve(self, request: web.Request) -> web.Response:
         body = await request.read()
-        self._check(request)
         if 'crash' in request.query:
-            self._record(request, body)
+            self._record(request)
             os.kill(os.getpid(), signal.SIGKILL)
         self._running += 1
         try:
@@ -104,7 +107,7 @@
             self._running -= 1
 
     async def _run(self, request: web.Request, body: bytes) -> web.Response:
-        self._record(request, body)
+        self._record(request)
         await asyncio.sleep(self._work_s(request))
         nested = await self._call_nested(request)
         answer = {
@@ -154,28 +157,26 @@
                 'body': (await response.read()).decode(),
             }
 
-    def _check(self, request: web.Request) -> None:
-        for name in _FORBIDDEN_HEADERS:
-            if name in request.headers:
-                self._violations.append(f'{name} on {request.path}')
-
-    def _record(self, request: web.Request, body: bytes) -> None:
+    def _record(self, request: web.Request) -> None:
+        leaked = [
+            name for name in _FORBIDDEN_HEADERS if name in request.headers
+        ]
         self._ledger.append(
-            {
-                'at': time.time(),
-                'path': request.path,
-                'method': request.method,
-                'workspace': request.headers.get('Turmeric-Workspace', ''),
-                'request_id': request.headers.get('Turmeric-Request-Id', ''),
-                'operation': request.headers.get('Idempotency-Key', ''),
-                'tag': request.query.get('tag', ''),
-            }
+            LedgerEntry(
+                at=time.time(),
+                method=request.method,
+                path=request.path,
+                workspace=request.headers.get('Turmeric-Workspace', ''),
+                request_id=request.headers.get('Turmeric-Request-Id', ''),
+                operation=request.headers.get('Idempotency-Key', ''),
+                tag=request.query.get('tag', ''),
+                depth=request.headers.get('Turmeric-Depth', ''),
+                violation=','.join(leaked),
+            )
         )
 
-    async def _show_ledger(self, request: web.Request) -> web.Response:
-        return web.json_response(
-            {'entries': self._ledger, 'violations': self._violations}
-        )
+    async def _health(self, request: web.Request) -> web.Response:
+        return web.json_response({'load': self._reported_load()})
 
     async def _set_speed(self, request: web.Request) -> web.Response:
         self._speed = float((await request.read()).decode())
@@ -201,6 +202,7 @@
     parser.add_argument('--name', required=True)
     parser.add_argument('--service', required=True)
     parser.add_argument('--daemon', required=True, help='local listener URL')
+    parser.add_argument('--ledger', required=True, help='ledger file')
     parser.add_argument('--slots', type=int, default=16)
     parser.add_argument('--connections', type=int, default=256)
     parser.add_argument('--work-ms', type=float, default=1.0)
--- a/tests/system/test_request_path.py
+++ b/tests/system/test_request_path.py
@@ -47,12 +47,12 @@
         assert refused.reason == 'key-missing'
         unknown = await fleet.call(entry, '/nowhere', key=KEY)
         assert (unknown.status, unknown.reason) == (404, 'route-unknown')
-        await _check_key_hidden(fleet)
+        _check_key_hidden(fleet)
 
 
-async def _check_key_hidden(fleet: Fleet) -> None:
+def _check_key_hidden(fleet: Fleet) -> None:
     for host in fleet.hosts:
-        assert (await fleet.ledger(host))['violations'] == []
+        assert not any(entry.violation for entry in fleet.ledger(host))
     for path in fleet.directory.iterdir():
         assert KEY not in path.read_text(), path.name
 
