Add a relay that delays and cuts links between failure domains

Cause: partitions of failure domains could not be tested.

Ruled out: network namespaces, which need more rights than a test run has.

--- a/packages/standins/src/turmericrouter_standins/fleet.py
+++ b/packages/standins/src/turmericrouter_standins/fleet.py
@@ -11,18 +11,15 @@
 import contextlib
 import dataclasses
 import json
-import os
 import pathlib
 import random
-import signal
 import socket
-import subprocess
-import sys
 import time
 from typing import Any
 import uuid
 
 import aiohttp
+import msgspec
 
 from turmericrouter_client.log_service import LogClient
 from turmericrouter_core.config import Change
@@ -35,6 +32,10 @@
 from turmericrouter_core.config import Value
 from turmericrouter_standins.ledger import LedgerEntry
 from turmericrouter_standins.ledger import read_ledger
+from turmericrouter_standins.process import FleetError
+from turmericrouter_standins.process import Process
+from turmericrouter_standins.relay import PLATFORM
+from turmericrouter_standins.relay import RelayRoute
 
 TARGET_PORT = 8000
 ENTRY_PORT = 8001
@@ -42,16 +43,14 @@
 LOCAL_PORT = 8003
 ADMIN_PORT = 8004
 LOG_PORT = 8080
+PEER_LISTEN_PORT = 8012
+RELAY_PORT = 8081
 READY_TIMEOUT_S = 20.0
 _POLL_S = 0.02
 
 SettingsTree = Mapping[str, Mapping[str, object]]
 
 
-class FleetError(Exception):
-    """The fleet did not come up, or a process ended by itself."""
-
-
 def _toml_value(value: object) -> str:
     if isinstance(value, bool):
         return 'true' if value else 'false'
@@ -82,72 +81,6 @@
     raise FleetError('no free loopback network')
 
 
-class Process:
-    """One child process with its log file.
-
-    Args:
-        name: Name in messages and of the log file.
-        command: Arguments after the interpreter.
-        directory: Where the log file goes.
-    """
-
-    def __init__(
-        self, name: str, command: Sequence[str], directory: pathlib.Path
-    ) -> None:
-        self.name = name
-        self.output = directory / f'{name}.log'
-        self._command = [sys.executable, *command]
-        self._child: subprocess.Popen[bytes] | None = None
-
-    @property
-    def pid(self) -> int:
-        """Return the process id."""
-        if self._child is None:
-            raise FleetError(f'{self.name} is not started')
-        return self._child.pid
-
-    @property
-    def is_running(self) -> bool:
-        """Return whether the process runs."""
-        return self._child is not None and self._child.poll() is None
-
-    def start(self) -> None:
-        """Start the process; its output is appended to the log file."""
-        with self.output.open('ab') as output:
-            self._child = subprocess.Popen(
-                self._command,
-                stdin=subprocess.DEVNULL,
-                stdout=output,
-                stderr=output,
-                env=dict(os.environ, PYTHONPATH=os.pathsep.join(sys.path)),
-            )
-
-    def send_signal(self, number: signal.Signals) -> None:
-        """Send a signal."""
-        if self._child is not None:
-            self._child.send_signal(number)
-
-    def kill(self) -> None:
-        """Kill the process at once and reap it."""
-        if self._child is not None:
-            self._child.kill()
-            self._child.wait()
-
-    async def wait(self, timeout_s: float) -> int:
-        """Wait for the process to end and return its status.
-
-        Raises:
-            FleetError: It still runs after the timeout.
-        """
-        assert self._child is not None
-        deadline = time.monotonic() + timeout_s
-        while self._child.poll() is None:
-            if time.monotonic() > deadline:
-                raise FleetError(f'{self.name} did not end')
-            await asyncio.sleep(_POLL_S)
-        return self._child.returncode
-
-
 @dataclasses.dataclass(slots=True)
 class Host:
     """A target host with its daemon and target.
@@ -212,6 +145,8 @@
         services: Services; each has targets in each domain.
         settings: Daemon settings by section, added to the defaults.
         log_options: Further arguments of the log service.
+        links: Whether links between daemons and to the log go through a
+            relay, so that they can be delayed and cut.
     """
 
     def __init__(
@@ -222,8 +157,10 @@
         *,
         settings: SettingsTree | None = None,
         log_options: Sequence[str] = (),
+        links: bool = False,
     ) -> None:
         self.directory = directory
+        self._links = links
         self.domains = tuple(domains)
         self._network = choose_network()
         self._settings = settings or {}
@@ -250,6 +187,17 @@
                 for copy in range(spec.per_domain)
             )
         ]
+        self.relay = Process(
+            'relay',
+            [
+                '-m',
+                'turmericrouter_standins.relay',
+                f'--host=127.{self._network}.0.1',
+                f'--port={RELAY_PORT}',
+                f'--routes={directory / "relay.json"}',
+            ],
+            directory,
+        )
         self.log_client = LogClient(self.log_url)
         self._session: aiohttp.ClientSession | None = None
         self._held: dict[str, Held] = {}
@@ -285,6 +233,8 @@
         """
         self.log_service.start()
         await self.wait_for(f'{self.log_url}/stats')
+        if self._links:
+            await self._start_relay()
         for host in self.hosts:
             host.daemon.start()
             host.target.start()
@@ -302,6 +252,61 @@
             host.daemon.kill()
             host.target.kill()
         self.log_service.kill()
+        self.relay.kill()
+
+    async def set_links(
+        self,
+        *,
+        delay_ms: float = 0.0,
+        cuts: Sequence[tuple[str, str]] = (),
+    ) -> None:
+        """Set the delay and the cuts between failure domains.
+
+        Args:
+            delay_ms: One-way delay between different failure domains.
+            cuts: Pairs of failure domains, or of one and `platform`.
+        """
+        rules = {'delay_ms': delay_ms, 'cuts': [list(cut) for cut in cuts]}
+        url = f'http://127.{self._network}.0.1:{RELAY_PORT}/rules'
+        async with self.session.put(url, json=rules):
+            return
+
+    async def _start_relay(self) -> None:
+        routes = [
+            RelayRoute(
+                host.ip,
+                PEER_PORT,
+                host.ip,
+                PEER_LISTEN_PORT,
+                '',
+                host.domain,
+            )
+            for host in self.hosts
+        ]
+        routes += [
+            RelayRoute(
+                self._platform_ip(domain),
+                LOG_PORT,
+                f'127.{self._network}.0.1',
+                LOG_PORT,
+                domain,
+                PLATFORM,
+            )
+            for domain in self.domains
+        ]
+        path = self.directory / 'relay.json'
+        path.write_bytes(msgspec.json.encode(routes))
+        self.relay.start()
+        await self.wait_for(
+            f'http://127.{self._network}.0.1:{RELAY_PORT}/rules'
+        )
+
+    def _platform_ip(self, domain: str) -> str:
+        """Return the address at which a domain reaches the log service."""
+        if not self._links:
+            return f'127.{self._network}.0.1'
+        index = self.domains.index(domain) + 1
+        return f'127.{self._network}.{index}.254'
 
     async def wait_for(self, url: str) -> None:
         """Wait until a URL answers anything at all.
@@ -440,8 +445,12 @@
                 'admin_port': ADMIN_PORT,
                 'local_ip': ip,
             },
-            'platform': {'log_url': self.log_url},
+            'platform': {
+                'log_url': f'http://{self._platform_ip(domain)}:{LOG_PORT}'
+            },
         }
+        if self._links:
+            tree['host']['peer_listen_port'] = PEER_LISTEN_PORT
         for section, values in self._settings.items():
             tree.setdefault(section, {}).update(values)
         return tree
