--- /dev/null
+++ b/packages/standins/src/turmericrouter_standins/load.py
@@ -0,0 +1,288 @@
+"""Open-loop load: arrivals do not wait for answers.
+
+A closed loop sends less when the system slows down and so hides queueing.
+Each flow has exponential gaps from a seed. Every attempt becomes one row of
+the result, and each answer is checked to be whole and the caller's own. Run
+it with `python -m`.
+"""
+
+import argparse
+import asyncio
+import gc
+import hashlib
+import json
+import pathlib
+import random
+import time
+
+import aiohttp
+import msgspec
+import uvloop
+
+from turmericrouter_core.identity import OperationId
+
+NO_ANSWER = 0
+
+
+class Phase(msgspec.Struct, frozen=True):
+    """A time span with a constant rate.
+
+    Args:
+        seconds: Length.
+        rate_per_s: Arrivals a second.
+    """
+
+    seconds: float
+    rate_per_s: float
+
+
+class Flow(msgspec.Struct, frozen=True):
+    """Callers of one kind.
+
+    Args:
+        name: Name in results.
+        path: Path, with a query if needed.
+        phases: Rates over time.
+        entries: Base URLs of entries; each attempt picks one at random.
+        key: Caller's key, empty for a route open to all.
+        method: HTTP method.
+        body_bytes: Length of the random body.
+        operation: Whether requests carry an idempotency key.
+        domains: Failure domains that idempotency keys are minted for.
+        retries: Extra attempts after anything but a whole answer.
+        retry_wait_s: Wait before an extra attempt; negative to wait as
+            long as `Retry-After` says.
+        delay_s: One-way delay between callers and entries.
+        timeout_s: Time that a caller waits for an answer.
+    """
+
+    name: str
+    path: str
+    phases: tuple[Phase, ...]
+    entries: tuple[str, ...]
+    key: str = ''
+    method: str = 'GET'
+    body_bytes: int = 0
+    operation: bool = False
+    domains: int = 1
+    retries: int = 0
+    retry_wait_s: float = 0.0
+    delay_s: float = 0.0
+    timeout_s: float = 10.0
+
+
+class LoadSpec(msgspec.Struct, frozen=True):
+    """What one load process does.
+
+    Args:
+        seed: Seed of arrivals, bodies and entries.
+        start_at: Wall-clock second at which the first phase starts.
+        flows: Flows that run at once.
+    """
+
+    seed: int
+    start_at: float
+    flows: tuple[Flow, ...]
+
+
+class Attempt(msgspec.Struct, frozen=True, array_like=True):
+    """One attempt of a caller.
+
+    Args:
+        flow: Name of the flow.
+        request: Number of the caller's request in the flow.
+        attempt: 0 for the first attempt of a request.
+        sent_at: Wall-clock second at which it was sent.
+        ended_at: Wall-clock second at which its answer was there.
+        status: HTTP status, 0 without an answer.
+        verdict: Verdict header.
+        reason: Reason header, or the client's error.
+        whole: Whether the answer was whole and the caller's own.
+        tag: Mark that the ledger of the target shows as well.
+        operation: Idempotency key, else empty.
+        entry: Base URL of the entry.
+        request_id: Id that the entry gave the attempt.
+    """
+
+    flow: str
+    request: int
+    attempt: int
+    sent_at: float
+    ended_at: float
+    status: int
+    verdict: str
+    reason: str
+    whole: bool
+    tag: str
+    operation: str
+    entry: str
+    request_id: str
+
+    @property
+    def is_served(self) -> bool:
+        """Return whether the caller got a useful answer."""
+        return self.status == 200 and self.whole
+
+
+class LoadGenerator:
+    """Runs all flows of a specification.
+
+    Args:
+        spec: What to send.
+    """
+
+    def __init__(self, spec: LoadSpec) -> None:
+        self._spec = spec
+        self._rng = random.Random(spec.seed)
+        self._attempts: list[Attempt] = []
+        self._session: aiohttp.ClientSession | None = None
+
+    async def run(self) -> list[Attempt]:
+        """Return all attempts, after the last one has ended."""
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(
+            connector=connector, auto_decompress=False
+        ) as session:
+            self._session = session
+            await asyncio.gather(
+                *(self._run(flow) for flow in self._spec.flows)
+            )
+        return self._attempts
+
+    async def _run(self, flow: Flow) -> None:
+        rng = random.Random(self._rng.getrandbits(64))
+        tasks: set[asyncio.Task[None]] = set()
+        number = 0
+        start = self._spec.start_at
+        for phase in flow.phases:
+            end = start + phase.seconds
+            due = start
+            while phase.rate_per_s > 0:
+                due += rng.expovariate(phase.rate_per_s)
+                if due >= end:
+                    break
+                await asyncio.sleep(max(0.0, due - time.time()))
+                seed = rng.getrandbits(64)
+                task = asyncio.create_task(self._request(flow, number, seed))
+                tasks.add(task)
+                task.add_done_callback(tasks.discard)
+                number += 1
+            start = end
+        await asyncio.sleep(max(0.0, start - time.time()))
+        await asyncio.gather(*tasks)
+
+    async def _request(self, flow: Flow, number: int, seed: int) -> None:
+        rng = random.Random(seed)
+        body = rng.randbytes(flow.body_bytes)
+        operation = ''
+        if flow.operation:
+            operation = OperationId.mint(
+                time.time(), rng.randrange(flow.domains), rng
+            ).text
+        for attempt in range(1 + flow.retries):
+            made, wait_s = await self._attempt(
+                flow, number, attempt, body, operation, rng
+            )
+            self._attempts.append(made)
+            if made.is_served:
+                return
+            await asyncio.sleep(wait_s)
+
+    async def _attempt(
+        self,
+        flow: Flow,
+        number: int,
+        attempt: int,
+        body: bytes,
+        operation: str,
+        rng: random.Random,
+    ) -> tuple[Attempt, float]:
+        assert self._session is not None
+        entry = rng.choice(flow.entries)
+        tag = f'{rng.getrandbits(64):016x}'
+        joint = '&' if '?' in flow.path else '?'
+        url = f'{entry}{flow.path}{joint}tag={tag}&echo={tag}'
+        headers = {}
+        if flow.key:
+            headers['Authorization'] = f'Bearer {flow.key}'
+        if operation:
+            headers['Idempotency-Key'] = operation
+        sent_at = time.time()
+        status, verdict, reason, whole = NO_ANSWER, '', '', False
+        request_id, retry_after_s = '', 1.0
+        await asyncio.sleep(flow.delay_s)
+        try:
+            async with self._session.request(
+                flow.method,
+                url,
+                data=body or None,
+                headers=headers,
+                timeout=aiohttp.ClientTimeout(total=flow.timeout_s),
+            ) as response:
+                content = await response.read()
+                status = response.status
+                verdict = response.headers.get('Turmeric-Verdict', '')
+                reason = response.headers.get('Turmeric-Reason', '')
+                request_id = response.headers.get('Turmeric-Request-Id', '')
+                retry_after_s = float(response.headers.get('Retry-After', 1))
+                replayed = attempt > 0 and bool(operation)
+                whole = _is_whole(content, body, '' if replayed else tag)
+        except (aiohttp.ClientError, TimeoutError) as error:
+            reason = type(error).__name__
+        await asyncio.sleep(flow.delay_s)
+        made = Attempt(
+            flow.name,
+            number,
+            attempt,
+            sent_at,
+            time.time(),
+            status,
+            verdict,
+            reason,
+            whole,
+            tag,
+            operation,
+            entry,
+            request_id,
+        )
+        wait_s = flow.retry_wait_s if flow.retry_wait_s >= 0 else retry_after_s
+        return made, wait_s
+
+
+def _is_whole(content: bytes, body: bytes, tag: str) -> bool:
+    """Return whether an answer belongs to a request and is complete.
+
+    Args:
+        content: Body of the answer.
+        body: Body of the request.
+        tag: Mark that must come back; empty if the answer may be that of
+            an earlier attempt.
+    """
+    try:
+        answer = json.loads(content)
+    except ValueError:
+        return False
+    if answer.get('sum') != hashlib.sha256(body).hexdigest():
+        return False
+    return not tag or answer.get('echo') == tag
+
+
+def read_attempts(path: pathlib.Path) -> list[Attempt]:
+    """Read the result of a load process."""
+    return msgspec.msgpack.decode(path.read_bytes(), type=list[Attempt])
+
+
+def main() -> None:
+    """Run a specification and write its attempts."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('spec', type=pathlib.Path, help='JSON file')
+    parser.add_argument('result', type=pathlib.Path, help='msgpack file')
+    options = parser.parse_args()
+    spec = msgspec.json.decode(options.spec.read_bytes(), type=LoadSpec)
+    gc.freeze()
+    attempts = uvloop.run(LoadGenerator(spec).run())
+    options.result.write_bytes(msgspec.msgpack.encode(attempts))
+
+
+if __name__ == '__main__':
+    main()
