--- /dev/null
+++ b/packages/standins/src/turmericrouter_standins/fairness.py
@@ -0,0 +1,171 @@
+"""Quota experiments: fair shares, wrongful refusals, over-admission."""
+
+from collections.abc import Sequence
+import dataclasses
+import pathlib
+
+from turmericrouter_standins.fleet import Fleet
+from turmericrouter_standins.fleet import SettingsTree
+from turmericrouter_standins.ledger import LedgerEntry
+from turmericrouter_standins.load import Attempt
+from turmericrouter_standins.load import Flow
+from turmericrouter_standins.load import Phase
+from turmericrouter_standins.scenario import Scenario
+from turmericrouter_standins.trial import Event
+from turmericrouter_standins.trial import run_trial
+from turmericrouter_standins.trial import TrialResult
+
+DURATION_S = 15.0
+# The first seconds fill buckets that start empty.
+WARM_UP_S = 3.0
+WITHIN_RATE = 0.8
+FLOOD_FACTOR = 10.0
+TOTAL_LOAD = 0.6
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FairnessResult:
+    """Figures of one trial.
+
+    Args:
+        worst_workspace_share: Useful answers over requests of the
+            worst-served workspace within its rate.
+        wrongful_refusal_ratio: Refusals over requests of workspaces
+            within their rate, whatever the reason.
+        overadmission_ratio: Requests started over rate * t + burst, in
+            the worst window of any workspace.
+    """
+
+    worst_workspace_share: float
+    wrongful_refusal_ratio: float
+    overadmission_ratio: float
+
+
+def _rates(scenario: Scenario, rate_per_s: float) -> dict[str, float]:
+    return {w.name: rate_per_s * w.share for w in scenario.workspaces}
+
+
+def _lookup_kind(scenario: Scenario) -> str:
+    return next(kind.name for kind in scenario.kinds if kind.idempotent)
+
+
+async def measure_fairness(
+    scenario: Scenario,
+    *,
+    directory: pathlib.Path,
+    seed: int,
+    flooding: bool = False,
+    skewed: bool = False,
+    events: Sequence[tuple[float, Event]] = (),
+    settings: SettingsTree | None = None,
+) -> FairnessResult:
+    """Run all workspaces within their rate, except perhaps the largest.
+
+    Args:
+        scenario: Deployment.
+        directory: Empty directory for settings and output.
+        seed: Seed of arrivals.
+        flooding: The largest workspace sends ten times its rate.
+        skewed: All callers use the entries of one failure domain.
+        events: Faults by time.
+        settings: Daemon settings by section.
+    """
+    kind = _lookup_kind(scenario)
+    service = next(k.service for k in scenario.kinds if k.name == kind)
+    total = TOTAL_LOAD * scenario.capacity_per_s(service)
+    rates = _rates(scenario, total)
+    flooder = max(rates, key=lambda name: rates[name]) if flooding else ''
+
+    def flows(fleet: Fleet) -> list[Flow]:
+        hosts = fleet.in_domain(scenario.domains[0]) if skewed else fleet.hosts
+        return [
+            Flow(
+                name=name,
+                path=f'/{kind}/1',
+                phases=(
+                    Phase(
+                        DURATION_S,
+                        rate
+                        * (FLOOD_FACTOR if name == flooder else WITHIN_RATE),
+                    ),
+                ),
+                entries=tuple(host.entry_url for host in hosts),
+                key=scenario.key(name),
+                delay_s=scenario.client_delay_ms / 1000,
+                timeout_s=2.0,
+            )
+            for name, rate in rates.items()
+        ]
+
+    result = await run_trial(
+        scenario,
+        flows,
+        directory=directory,
+        rate_per_s=total,
+        seed=seed,
+        events=events,
+        settings=settings,
+    )
+    return _evaluate(result, rates, flooder)
+
+
+def _evaluate(
+    result: TrialResult, rates: dict[str, float], flooder: str
+) -> FairnessResult:
+    asked = dict.fromkeys(rates, 0)
+    served = dict.fromkeys(rates, 0)
+    for attempt in result.attempts:
+        if attempt.sent_at - result.started_at >= WARM_UP_S:
+            asked[attempt.flow] += 1
+            served[attempt.flow] += attempt.is_served
+    shares = {
+        name: served[name] / asked[name]
+        for name in rates
+        if name != flooder and asked[name]
+    }
+    within = [name for name in rates if name != flooder]
+    refused = sum(asked[name] - served[name] for name in within)
+    return FairnessResult(
+        worst_workspace_share=min(shares.values()),
+        wrongful_refusal_ratio=refused / sum(asked[name] for name in within),
+        overadmission_ratio=max(
+            overadmission(result.attempts, result.ledger, name, rate, rate)
+            for name, rate in rates.items()
+        ),
+    )
+
+
+def overadmission(
+    attempts: Sequence[Attempt],
+    ledger: Sequence[LedgerEntry],
+    workspace: str,
+    rate_per_s: float,
+    burst: float,
+) -> float:
+    """Return the worst ratio of admitted requests to what was allowed.
+
+    A request is admitted somewhere between the moment its caller sent it
+    and the moment its target started it. A window therefore counts only
+    requests for which both moments lie inside, so no excess is reported
+    that queueing alone can explain.
+
+    Args:
+        attempts: What callers sent.
+        ledger: What targets started.
+        workspace: Workspace to look at.
+        rate_per_s: Its rate.
+        burst: Its burst.
+    """
+    started = {entry.tag: entry.at for entry in ledger if entry.tag}
+    spans = sorted(
+        (attempt.sent_at, started[attempt.tag])
+        for attempt in attempts
+        if attempt.flow == workspace and attempt.tag in started
+    )
+    worst = 0.0
+    for start in (span[0] for span in spans[:: max(1, len(spans) // 200)]):
+        inside = sorted(end for begin, end in spans if begin >= start)
+        for count, end in enumerate(inside, 1):
+            allowed = rate_per_s * (end - start) + burst
+            worst = max(worst, count / allowed)
+    return worst
--- /dev/null
+++ b/packages/standins/src/turmericrouter_standins/overload.py
@@ -0,0 +1,173 @@
+"""Overload experiment: a surge on one service with hard client retries."""
+
+from collections.abc import Sequence
+import dataclasses
+import pathlib
+
+from turmericrouter_core.verdict import Importance
+from turmericrouter_standins.fleet import Fleet
+from turmericrouter_standins.fleet import SettingsTree
+from turmericrouter_standins.load import Flow
+from turmericrouter_standins.load import Phase
+from turmericrouter_standins.scenario import Kind
+from turmericrouter_standins.scenario import Scenario
+from turmericrouter_standins.trial import run_trial
+from turmericrouter_standins.trial import TrialResult
+
+BEFORE_S = 5.0
+SURGE_S = 10.0
+AFTER_S = 15.0
+# The first part of a surge is left out of goodput: it is the reaction.
+SETTLING_S = 2.0
+USUAL_LOAD = 0.7
+CRITICAL_SHARE = 0.2
+CLIENT_TIMEOUT_S = 2.0
+CLIENT_RETRIES = 2
+CLIENT_RETRY_WAIT_S = 0.1
+RECOVERED_RATIO = 0.95
+_RECOVERY_WINDOW_S = 0.5
+_INTERVAL_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OverloadResult:
+    """Figures of one surge.
+
+    Args:
+        goodput_ratio: Useful answers a second during the surge over the
+            service's capacity.
+        recovery_s: Seconds from the end of the surge until goodput is
+            back at 95% of what it was before, none if it never was.
+        importance_inversions: Intervals of 100 ms in which a critical
+            request was shed while a low one was served, over the surge.
+        critical_served: Critical requests served during the surge.
+        low_served: Low requests served during the surge.
+    """
+
+    goodput_ratio: float
+    recovery_s: float | None
+    importance_inversions: int
+    critical_served: int
+    low_served: int
+
+
+def _surged_kinds(scenario: Scenario) -> tuple[Kind, Kind]:
+    """Return the critical and the low kind of the smallest service."""
+    slots = {size.name: size.slots for size in scenario.services}
+    smallest = min(slots, key=lambda name: slots[name])
+    kinds = [kind for kind in scenario.kinds if kind.service == smallest]
+    critical = next(
+        kind for kind in kinds if kind.importance == Importance.CRITICAL.name
+    )
+    low = next(
+        kind for kind in kinds if kind.importance == Importance.LOW.name
+    )
+    return critical, low
+
+
+def _flows(scenario: Scenario, fleet: Fleet, factor: float) -> Sequence[Flow]:
+    critical, low = _surged_kinds(scenario)
+    capacity = scenario.capacity_per_s(critical.service)
+    entries = tuple(host.entry_url for host in fleet.hosts)
+    flows = []
+    for kind, share in (
+        (critical, CRITICAL_SHARE),
+        (low, 1 - CRITICAL_SHARE),
+    ):
+        for workspace in scenario.workspaces:
+            rate = capacity * share * workspace.share
+            phases = (
+                Phase(BEFORE_S, USUAL_LOAD * rate),
+                Phase(SURGE_S, factor * rate),
+                Phase(AFTER_S, USUAL_LOAD * rate),
+            )
+            flows.append(
+                Flow(
+                    name=f'{kind.name}/{workspace.name}',
+                    path=f'/{kind.name}/1',
+                    phases=phases,
+                    entries=entries,
+                    key=scenario.key(workspace.name),
+                    method='GET' if kind.idempotent else 'POST',
+                    body_bytes=0 if kind.idempotent else 100,
+                    operation=not kind.idempotent,
+                    domains=len(scenario.domains),
+                    retries=CLIENT_RETRIES,
+                    retry_wait_s=CLIENT_RETRY_WAIT_S,
+                    delay_s=scenario.client_delay_ms / 1000,
+                    timeout_s=CLIENT_TIMEOUT_S,
+                )
+            )
+    return flows
+
+
+async def measure_overload(
+    scenario: Scenario,
+    *,
+    factor: float,
+    directory: pathlib.Path,
+    seed: int,
+    settings: SettingsTree | None = None,
+) -> OverloadResult:
+    """Run a surge on the smallest service of a deployment.
+
+    Args:
+        scenario: Deployment.
+        factor: Offered load during the surge over the capacity.
+        directory: Empty directory for settings and output.
+        seed: Seed of arrivals.
+        settings: Daemon settings by section.
+    """
+    critical, low = _surged_kinds(scenario)
+    capacity = scenario.capacity_per_s(critical.service)
+    result = await run_trial(
+        scenario,
+        lambda fleet: _flows(scenario, fleet, factor),
+        directory=directory,
+        # Rates are not the limit here; the service is.
+        rate_per_s=100 * capacity,
+        seed=seed,
+        settings=settings,
+    )
+    names = {attempt.flow for attempt in result.attempts}
+    critical_flows = {n for n in names if n.startswith(f'{critical.name}/')}
+    start, end = BEFORE_S + SETTLING_S, BEFORE_S + SURGE_S
+    served = result.served(names, start, end)
+    critical_served = result.served(critical_flows, start, end)
+    return OverloadResult(
+        goodput_ratio=served / (end - start) / capacity,
+        recovery_s=_recovery_s(result, names),
+        importance_inversions=_inversions(result, critical_flows),
+        critical_served=critical_served,
+        low_served=served - critical_served,
+    )
+
+
+def _recovery_s(result: TrialResult, names: set[str]) -> float | None:
+    before = result.served(names, 1.0, BEFORE_S) / (BEFORE_S - 1.0)
+    surge_end = BEFORE_S + SURGE_S
+    steps = int((AFTER_S - _RECOVERY_WINDOW_S) / _RECOVERY_WINDOW_S)
+    for step in range(steps):
+        start = surge_end + step * _RECOVERY_WINDOW_S
+        # Two windows, so that one lucky burst does not count.
+        end = start + 2 * _RECOVERY_WINDOW_S
+        rate = result.served(names, start, end) / (end - start)
+        if rate >= RECOVERED_RATIO * before:
+            return start - surge_end
+    return None
+
+
+def _inversions(result: TrialResult, critical_flows: set[str]) -> int:
+    shed: set[int] = set()
+    served: set[int] = set()
+    for attempt in result.attempts:
+        second = attempt.ended_at - result.started_at
+        if not BEFORE_S + SETTLING_S <= second < BEFORE_S + SURGE_S:
+            continue
+        interval = int(second / _INTERVAL_S)
+        if attempt.flow in critical_flows:
+            if attempt.status == 503:
+                shed.add(interval)
+        elif attempt.is_served:
+            served.add(interval)
+    return len(shed & served)
