--- a/packages/standins/src/turmericrouter_standins/load.py
+++ b/packages/standins/src/turmericrouter_standins/load.py
@@ -172,6 +172,7 @@
         await asyncio.gather(*tasks)
 
     async def _request(self, flow: Flow, number: int, seed: int) -> None:
+        assert self._session is not None
         rng = random.Random(seed)
         body = rng.randbytes(flow.body_bytes)
         operation = ''
@@ -180,73 +181,87 @@
                 time.time(), rng.randrange(flow.domains), rng
             ).text
         for attempt in range(1 + flow.retries):
-            made, wait_s = await self._attempt(
-                flow, number, attempt, body, operation, rng
+            made, wait_s = await send_attempt(
+                self._session, flow, number, attempt, body, operation, rng
             )
             self._attempts.append(made)
             if made.is_served:
                 return
             await asyncio.sleep(wait_s)
 
-    async def _attempt(
-        self,
-        flow: Flow,
-        number: int,
-        attempt: int,
-        body: bytes,
-        operation: str,
-        rng: random.Random,
-    ) -> tuple[Attempt, float]:
-        assert self._session is not None
-        entry = rng.choice(flow.entries)
-        tag = f'{rng.getrandbits(64):016x}'
-        joint = '&' if '?' in flow.path else '?'
-        url = f'{entry}{flow.path}{joint}tag={tag}&echo={tag}'
-        headers = {}
-        if flow.key:
-            headers['Authorization'] = f'Bearer {flow.key}'
-        if operation:
-            headers['Idempotency-Key'] = operation
-        sent_at = time.time()
-        status, verdict, reason, whole = NO_ANSWER, '', '', False
-        request_id, retry_after_s = '', 1.0
-        await asyncio.sleep(flow.delay_s)
-        try:
-            async with self._session.request(
-                flow.method,
-                url,
-                data=body or None,
-                headers=headers,
-                timeout=aiohttp.ClientTimeout(total=flow.timeout_s),
-            ) as response:
-                content = await response.read()
-                status = response.status
-                verdict = response.headers.get('Turmeric-Verdict', '')
-                reason = response.headers.get('Turmeric-Reason', '')
-                request_id = response.headers.get('Turmeric-Request-Id', '')
-                retry_after_s = float(response.headers.get('Retry-After', 1))
-                replayed = attempt > 0 and bool(operation)
-                whole = _is_whole(content, body, '' if replayed else tag)
-        except (aiohttp.ClientError, TimeoutError) as error:
-            reason = type(error).__name__
-        await asyncio.sleep(flow.delay_s)
-        made = Attempt(
-            flow.name,
-            number,
-            attempt,
-            sent_at,
-            time.time(),
-            status,
-            verdict,
-            reason,
-            whole,
-            tag,
-            operation,
-            entry,
-            request_id,
-        )
-        wait_s = flow.retry_wait_s if flow.retry_wait_s >= 0 else retry_after_s
-        return made, wait_s
+
+async def send_attempt(
+    session: aiohttp.ClientSession,
+    flow: Flow,
+    number: int,
+    attempt: int,
+    body: bytes,
+    operation: str,
+    rng: random.Random,
+) -> tuple[Attempt, float]:
+    """Send one attempt and check its answer.
+
+    Args:
+        session: HTTP session.
+        flow: Caller.
+        number: Number of the request in the flow.
+        attempt: 0 for the first attempt of the request.
+        body: Body of the request.
+        operation: Idempotency key, else empty.
+        rng: Source of the entry and the tag.
+
+    Returns:
+        The attempt and the seconds to wait before another one.
+    """
+    entry = rng.choice(flow.entries)
+    tag = f'{rng.getrandbits(64):016x}'
+    joint = '&' if '?' in flow.path else '?'
+    url = f'{entry}{flow.path}{joint}tag={tag}&echo={tag}'
+    headers = {}
+    if flow.key:
+        headers['Authorization'] = f'Bearer {flow.key}'
+    if operation:
+        headers['Idempotency-Key'] = operation
+    sent_at = time.time()
+    status, verdict, reason, whole = NO_ANSWER, '', '', False
+    request_id, retry_after_s = '', 1.0
+    await asyncio.sleep(flow.delay_s)
+    try:
+        async with session.request(
+            flow.method,
+            url,
+            data=body or None,
+            headers=headers,
+            timeout=aiohttp.ClientTimeout(total=flow.timeout_s),
+        ) as response:
+            content = await response.read()
+            status = response.status
+            verdict = response.headers.get('Turmeric-Verdict', '')
+            reason = response.headers.get('Turmeric-Reason', '')
+            request_id = response.headers.get('Turmeric-Request-Id', '')
+            retry_after_s = float(response.headers.get('Retry-After', 1))
+            replayed = attempt > 0 and bool(operation)
+            whole = _is_whole(content, body, '' if replayed else tag)
+    except (aiohttp.ClientError, TimeoutError) as error:
+        reason = type(error).__name__
+    await asyncio.sleep(flow.delay_s)
+    made = Attempt(
+        flow.name,
+        number,
+        attempt,
+        sent_at,
+        time.time(),
+        status,
+        verdict,
+        reason,
+        whole,
+        tag,
+        operation,
+        entry,
+        request_id,
+    )
+    wait_s = flow.retry_wait_s if flow.retry_wait_s >= 0 else retry_after_s
+    return made, wait_s
 
 
 def _is_whole(content: bytes, body: bytes, tag: str) -> bool:
--- a/packages/standins/src/turmericrouter_standins/process.py
+++ b/packages/standins/src/turmericrouter_standins/process.py
@@ -48,7 +48,9 @@
         return self._child is not None and self._child.poll() is None
 
     def start(self) -> None:
-        """Start the process; its output is appended to the log file."""
+        """Start the process unless it runs; output goes to the log file."""
+        if self.is_running:
+            return
         with self.output.open('ab') as output:
             self._child = subprocess.Popen(
                 self._command,
