--- a/packages/core/src/turmericrouter_core/control.py
+++ b/packages/core/src/turmericrouter_core/control.py
@@ -27,11 +27,23 @@
     holders: tuple[str, ...]
 
 
-ControlRecord = Announcement | RosterChange
+class ControlSnapshot(msgspec.Struct, frozen=True, tag='control-snapshot'):
+    """All rosters as of an offset, because older records expire.
 
-_decoder: msgspec.msgpack.Decoder[Announcement | RosterChange] = (
-    msgspec.msgpack.Decoder(Announcement | RosterChange)
-)
+    Args:
+        offset: Last offset that the rosters include.
+        rosters: (epoch, holders) by failure domain.
+    """
+
+    offset: int
+    rosters: dict[str, tuple[int, tuple[str, ...]]]
+
+
+ControlRecord = Announcement | RosterChange | ControlSnapshot
+
+_decoder: msgspec.msgpack.Decoder[
+    Announcement | RosterChange | ControlSnapshot
+] = msgspec.msgpack.Decoder(Announcement | RosterChange | ControlSnapshot)
 
 
 def encode_control(record: ControlRecord) -> bytes:
@@ -49,3 +61,12 @@
         return _decoder.decode(payload)
     except msgspec.MsgspecError as error:
         raise ConfigError(f'not a control record: {error}') from error
+
+
+def control_snapshot_offset(payload: bytes) -> int | None:
+    """Return the offset that a snapshot restores to, none for others."""
+    try:
+        record = decode_control(payload)
+    except ConfigError:
+        return None
+    return record.offset if isinstance(record, ControlSnapshot) else None
--- a/packages/core/src/turmericrouter_core/directory.py
+++ b/packages/core/src/turmericrouter_core/directory.py
@@ -3,9 +3,19 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 import enum
+import sys
+
+import msgspec
+import xxhash
 
 from turmericrouter_core.messages import DirectoryEntry
 
+BUCKETS = 64
+# Partitions between regions last about an hour. Dead entries are passed on
+# for half of this time only, so that one expired here does not come back
+# from a daemon that learned of the death a little later.
+DEFAULT_EXPIRE_AFTER_S = 6 * 3600.0
+
 
 class MemberState(enum.IntEnum):
     """State that a daemon gives itself."""
@@ -34,12 +44,60 @@
     )
 
 
+def marked(entry: DirectoryEntry, mark: Mark) -> DirectoryEntry:
+    """Return an entry with another mark."""
+    return msgspec.structs.replace(entry, mark=int(mark))
+
+
+def refute(own: DirectoryEntry, seen: DirectoryEntry) -> DirectoryEntry | None:
+    """Return the owner's entry that overrules what others say of it.
+
+    Args:
+        own: The owner's current entry.
+        seen: Entry of the owner's address that another daemon sent.
+
+    Returns:
+        A higher entry, or none if the current one wins already.
+    """
+    if not is_newer(seen, own):
+        return None
+    if seen.incarnation > own.incarnation:
+        # The clock went back between two starts; ids must still grow.
+        return msgspec.structs.replace(
+            own, incarnation=seen.incarnation + 1, version=0
+        )
+    return msgspec.structs.replace(own, version=seen.version + 1)
+
+
+def bucket_of(address: str) -> int:
+    """Return the bucket of an address, 0 to 63."""
+    return xxhash.xxh64_intdigest(address.encode()) % BUCKETS
+
+
+def _digest(entry: DirectoryEntry) -> int:
+    text = f'{entry.address}|{entry.incarnation}|{entry.version}|{entry.mark}'
+    return xxhash.xxh64_intdigest(text.encode())
+
+
 class Directory:
-    """Entries by address, with an index by service."""
+    """Entries by address, with indexes by service and failure domain.
+
+    Args:
+        expire_after_s: Seconds after which a dead entry is forgotten.
+    """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, *, expire_after_s: float = DEFAULT_EXPIRE_AFTER_S
+    ) -> None:
+        self._expire_after_s = expire_after_s
         self._entries: dict[str, DirectoryEntry] = {}
         self._by_service: dict[str, dict[str, DirectoryEntry]] = {}
+        self._by_domain: dict[str, dict[str, DirectoryEntry]] = {}
+        self._buckets: list[set[str]] = [set() for _ in range(BUCKETS)]
+        self._digests = [0] * BUCKETS
+        self._dead_since: dict[str, float | None] = {}
+        self._old_dead: set[str] = set()
+        self._suspects: set[str] = set()
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -47,6 +105,19 @@
     def __iter__(self) -> Iterator[DirectoryEntry]:
         return iter(self._entries.values())
 
+    @property
+    def domains(self) -> tuple[str, ...]:
+        """Return the failure domains with a known daemon, sorted."""
+        return tuple(sorted(self._by_domain))
+
+    @property
+    def digests(self) -> tuple[int, ...]:
+        """Return a digest per bucket; dead entries do not count.
+
+        The order in which entries came does not matter.
+        """
+        return tuple(self._digests)
+
     def get(self, address: str) -> DirectoryEntry | None:
         """Return the entry of an address."""
         return self._entries.get(address)
@@ -55,14 +126,12 @@
         self, entries: Iterable[DirectoryEntry]
     ) -> tuple[DirectoryEntry, ...]:
         """Take in entries and return those that were new."""
-        new = tuple(
-            entry
-            for entry in entries
-            if is_newer(entry, self._entries.get(entry.address))
-        )
-        for entry in new:
-            self._replace(entry)
-        return new
+        new = []
+        for entry in entries:
+            if is_newer(entry, self._entries.get(entry.address)):
+                self._replace(entry)
+                new.append(entry)
+        return tuple(new)
 
     def remove(self, address: str) -> None:
         """Forget an entry."""
@@ -70,6 +139,24 @@
         if entry is not None:
             self._unindex(entry)
 
+    def expire(self, now: float) -> int:
+        """Forget entries that were dead for long; return how many.
+
+        Args:
+            now: Monotonic seconds.
+        """
+        expired = []
+        for address, since in self._dead_since.items():
+            if since is None:
+                self._dead_since[address] = now
+            elif now - since >= self._expire_after_s:
+                expired.append(address)
+            elif now - since >= self._expire_after_s / 2:
+                self._old_dead.add(address)
+        for address in expired:
+            self.remove(address)
+        return len(expired)
+
     def serving(self, service: str) -> list[DirectoryEntry]:
         """Return the entries of a service that may get new work."""
         return [
@@ -82,22 +169,87 @@
         """Return the entries of a failure domain that are not dead."""
         return [
             entry
-            for entry in self._entries.values()
-            if entry.domain == name and entry.mark != Mark.DEAD
+            for entry in self._by_domain.get(name, {}).values()
+            if entry.mark != Mark.DEAD
         ]
 
+    def dead(self, name: str) -> list[DirectoryEntry]:
+        """Return the dead entries of a failure domain."""
+        members = self._by_domain.get(name, {})
+        return [
+            members[address]
+            for address in self._dead_since
+            if address in members
+        ]
+
+    def suspects(self, name: str) -> list[DirectoryEntry]:
+        """Return the suspect entries of a failure domain."""
+        members = self._by_domain.get(name, {})
+        return [
+            members[address]
+            for address in sorted(self._suspects)
+            if address in members
+        ]
+
+    def differing(self, digests: tuple[int, ...]) -> tuple[int, ...]:
+        """Return the buckets whose digest differs from another directory."""
+        pairs = zip(self._digests, digests, strict=True)
+        return tuple(
+            index for index, (own, other) in enumerate(pairs) if own != other
+        )
+
+    def in_buckets(self, buckets: Iterable[int]) -> tuple[DirectoryEntry, ...]:
+        """Return the entries of buckets, without those dead for long."""
+        return tuple(
+            self._entries[address]
+            for bucket in buckets
+            for address in sorted(self._buckets[bucket])
+            if address not in self._old_dead
+        )
+
     def _replace(self, entry: DirectoryEntry) -> None:
         known = self._entries.get(entry.address)
         if known is not None:
             self._unindex(known)
+        # Decoded entries hold strings of their own; names repeat often.
+        entry = msgspec.structs.replace(
+            entry,
+            domain=sys.intern(entry.domain),
+            service=sys.intern(entry.service),
+        )
+        bucket = bucket_of(entry.address)
         self._entries[entry.address] = entry
+        self._buckets[bucket].add(entry.address)
+        members = self._by_domain.setdefault(entry.domain, {})
+        members[entry.address] = entry
+        if entry.mark == Mark.SUSPECT:
+            self._suspects.add(entry.address)
+        if entry.mark == Mark.DEAD:
+            self._dead_since[entry.address] = None
+        else:
+            self._digests[bucket] ^= _digest(entry)
         if entry.service:
             index = self._by_service.setdefault(entry.service, {})
             index[entry.address] = entry
 
     def _unindex(self, entry: DirectoryEntry) -> None:
-        index = self._by_service.get(entry.service)
-        if index is not None:
-            index.pop(entry.address, None)
-            if not index:
-                del self._by_service[entry.service]
+        bucket = bucket_of(entry.address)
+        self._buckets[bucket].discard(entry.address)
+        self._suspects.discard(entry.address)
+        if entry.mark == Mark.DEAD:
+            self._dead_since.pop(entry.address, None)
+            self._old_dead.discard(entry.address)
+        else:
+            self._digests[bucket] ^= _digest(entry)
+        _drop(self._by_domain, entry.domain, entry.address)
+        _drop(self._by_service, entry.service, entry.address)
+
+
+def _drop(
+    index: dict[str, dict[str, DirectoryEntry]], name: str, address: str
+) -> None:
+    entries = index.get(name)
+    if entries is not None:
+        entries.pop(address, None)
+        if not entries:
+            del index[name]
--- a/packages/core/src/turmericrouter_core/messages.py
+++ b/packages/core/src/turmericrouter_core/messages.py
@@ -289,7 +289,8 @@
         config_offset: Offset included in the sender's configuration.
         control_offset: Offset included in the sender's roster state.
         log_age_ms: Milliseconds since the platform's log is known to have
-            been read, by the sender or by somebody it heard from.
+            been read, by the sender or by somebody it heard from; -1 if
+            never.
     """
 
     config_offset: int
@@ -411,11 +412,15 @@
         sequence: Echoed by the acknowledgement.
         sender: `IP:PORT` of the sender's peer listener.
         updates: Piggybacked directory entries.
+        log_age_ms: As in `ConfigPull`, -1 if never.
+        config_offset: Offset of the configuration that the age speaks of.
     """
 
     sequence: int
     sender: str
     updates: tuple[DirectoryEntry, ...]
+    log_age_ms: int = -1
+    config_offset: int = -1
 
 
 @_code(71)
@@ -425,6 +430,8 @@
     sequence: int
     sender: str
     updates: tuple[DirectoryEntry, ...]
+    log_age_ms: int = -1
+    config_offset: int = -1
 
 
 @_code(72)
--- /dev/null
+++ b/tests/core/test_directory.py
@@ -0,0 +1,128 @@
+"""The directory against a plain maximum by (incarnation, version, mark)."""
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from turmericrouter_core.directory import Directory
+from turmericrouter_core.directory import is_newer
+from turmericrouter_core.directory import Mark
+from turmericrouter_core.directory import marked
+from turmericrouter_core.directory import MemberState
+from turmericrouter_core.directory import refute
+from turmericrouter_core.messages import DirectoryEntry
+
+FIXED = settings(max_examples=300, derandomize=True, deadline=None)
+
+
+def _entry(host: int, incarnation: int, version: int, mark: int):
+    """Return an entry; its owner's content follows from the pair."""
+    state = (incarnation + version) % 3
+    return DirectoryEntry(
+        f'10.0.0.{host}:1',
+        f'domain-{host % 2}',
+        incarnation,
+        version,
+        state,
+        f'service-{version % 2}' if version else '',
+        mark=mark,
+    )
+
+
+ENTRIES = st.lists(
+    st.builds(
+        _entry,
+        st.integers(0, 5),
+        st.integers(1, 3),
+        st.integers(0, 3),
+        st.integers(0, 2),
+    ),
+    max_size=30,
+)
+
+
+def _check(directory: Directory, entries: list[DirectoryEntry]) -> None:
+    """Compare with the best entry of each address, and every index."""
+    best: dict[str, DirectoryEntry] = {}
+    for entry in entries:
+        if is_newer(entry, best.get(entry.address)):
+            best[entry.address] = entry
+    assert {e.address: e for e in directory} == best
+    for service in ('service-0', 'service-1'):
+        assert {e.address for e in directory.serving(service)} == {
+            e.address
+            for e in best.values()
+            if e.service == service
+            and e.state == MemberState.SERVING
+            and e.mark != Mark.DEAD
+        }
+    for domain in ('domain-0', 'domain-1'):
+        here = {e for e in best.values() if e.domain == domain}
+        dead = {e for e in here if e.mark == Mark.DEAD}
+        assert set(directory.domain(domain)) == here - dead
+        assert set(directory.dead(domain)) == dead
+        assert set(directory.suspects(domain)) == {
+            e for e in here if e.mark == Mark.SUSPECT
+        }
+
+
+@FIXED
+@given(ENTRIES, st.randoms(use_true_random=False))
+def test_merge_ignores_order_and_repetition(entries, rng) -> None:
+    one, other = Directory(), Directory()
+    one.merge(entries)
+    shuffled = entries + entries[: len(entries) // 2]
+    rng.shuffle(shuffled)
+    for entry in shuffled:
+        other.merge([entry])
+    _check(one, entries)
+    _check(other, entries)
+    assert one.digests == other.digests
+    assert one.merge(entries) == ()
+
+
+@FIXED
+@given(ENTRIES, ENTRIES)
+def test_exchange_of_differing_buckets_makes_equal(left, right) -> None:
+    one, other = Directory(), Directory()
+    one.merge(left)
+    other.merge(right)
+    other.merge(one.in_buckets(one.differing(other.digests)))
+    one.merge(other.in_buckets(other.differing(one.digests)))
+    assert one.digests == other.digests
+    live = [e for e in one if e.mark != Mark.DEAD]
+    assert all(other.get(entry.address) == entry for entry in live)
+
+
+def test_dead_entry_expires_and_is_not_passed_on_before() -> None:
+    directory = Directory(expire_after_s=100)
+    dead, alive = _entry(0, 1, 1, Mark.DEAD), _entry(1, 1, 1, Mark.ALIVE)
+    directory.merge([dead, alive])
+    buckets = range(64)
+    assert directory.expire(0.0) == 0
+    assert dead in directory.in_buckets(buckets)
+    directory.expire(50.0)
+    assert directory.in_buckets(buckets) == (alive,)
+    assert directory.expire(99.0) == 0
+    assert directory.expire(100.0) == 1
+    assert list(directory) == [alive]
+
+
+def test_restart_clears_dead_mark_and_expiry() -> None:
+    directory = Directory(expire_after_s=100)
+    directory.merge([_entry(0, 1, 1, Mark.DEAD)])
+    directory.expire(0.0)
+    directory.merge([_entry(0, 2, 0, Mark.ALIVE)])
+    assert directory.expire(1000.0) == 0
+    assert [e.incarnation for e in directory.domain('domain-0')] == [2]
+
+
+@FIXED
+@given(st.integers(1, 3), st.integers(0, 3), st.integers(0, 2))
+def test_refutation_wins_over_what_was_seen(incarnation, version, mark):
+    own = _entry(0, 2, 1, Mark.ALIVE)
+    seen = marked(_entry(0, incarnation, version, 0), Mark(mark))
+    newer = refute(own, seen)
+    winner = newer or own
+    assert winner.mark == Mark.ALIVE
+    assert winner == seen or is_newer(winner, seen)
