Distribute configuration, directory and membership between daemons

Cause: Every daemon polled the log, announced each change in it, and learned nothing while the log was down. Ruled out: Merging announcements of the control stream into the directory, because records may be a retention time old and bring back hosts that are gone; they only name whom to ask. Before and after: the system test passes before and after (python -m pytest tests/system, 1 passed).

--- a/packages/daemon/src/turmericrouter_daemon/application.py
+++ b/packages/daemon/src/turmericrouter_daemon/application.py
@@ -8,6 +8,7 @@
 import time
 
 from turmericrouter_client.log_service import LogClient
+from turmericrouter_core.directory import Directory
 from turmericrouter_core.messages import Dispatch
 from turmericrouter_core.verdict import Refusal
 from turmericrouter_daemon.call import Answer
@@ -18,8 +19,10 @@
 from turmericrouter_daemon.dispatch import Dispatcher
 from turmericrouter_daemon.entry import Entry
 from turmericrouter_daemon.gate import Gate
+from turmericrouter_daemon.gossip import Gossip
 from turmericrouter_daemon.local import LocalListener
 from turmericrouter_daemon.logs import open_log
+from turmericrouter_daemon.membership_service import MembershipService
 from turmericrouter_daemon.metrics import open_metrics
 from turmericrouter_daemon.peer import MessageRouter
 from turmericrouter_daemon.peer import PeerPool
@@ -78,12 +81,21 @@
         )
         runtime = self._runtime
         router = MessageRouter()
-        self._config = ConfigSync(runtime, self._log_client)
+        self._peers = PeerPool(runtime, router, self._tls)
+        directory = Directory(
+            expire_after_s=settings.membership.expire_after_s
+        )
+        self._gossip = Gossip(runtime, directory, self._peers)
+        self._config = ConfigSync(runtime, self._log_client, self._gossip)
+        self._config.register(router)
         self._directory = DirectorySync(
-            runtime, self._config, self._log_client
+            runtime, self._config, self._log_client, self._gossip
+        )
+        self._directory.register(router)
+        self._membership = MembershipService(
+            runtime, self._config, self._directory
         )
         self._gate = Gate(runtime, self._config)
-        self._peers = PeerPool(runtime, router, self._tls)
         self._peer_server = PeerServer(runtime, router, self._tls)
         dispatcher = Dispatcher(
             runtime,
@@ -108,8 +120,10 @@
 
     async def start(self) -> None:
         """Start all parts; callers are accepted last."""
-        await self._config.start()
         await self._peer_server.start()
+        await self._membership.start()
+        await self._config.start()
+        await self._directory.start()
         await self._local.start()
         await self._entry.start()
         # Objects made so far live as long as the process; collecting them
@@ -132,6 +146,9 @@
                 await self._gate.drained()
         await self._entry.stop()
         await self._local.stop()
+        await self._directory.stop()
+        await self._membership.stop()
+        await self._gossip.stop()
         await self._peers.stop()
         await self._peer_server.stop()
         await self._config.stop()
--- a/packages/daemon/src/turmericrouter_daemon/config_sync.py
+++ b/packages/daemon/src/turmericrouter_daemon/config_sync.py
@@ -1,43 +1,79 @@
 """Keeps the daemon's copy of the configuration and control streams."""
 
-import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 
+from turmericrouter_client.log_service import LogPage
 from turmericrouter_client.log_service import LogService
+from turmericrouter_core.clock import Subscription
 from turmericrouter_core.config import Applied
+from turmericrouter_core.config import ApplyStatus
 from turmericrouter_core.config import CONFIG_STREAM
 from turmericrouter_core.config import ConfigState
 from turmericrouter_core.config import CONTROL_STREAM
-from turmericrouter_core.config import NO_OFFSET
+from turmericrouter_core.config import decode_record
+from turmericrouter_core.config import encode_record
 from turmericrouter_core.config import Route
+from turmericrouter_core.config import Snapshot
+from turmericrouter_core.control import control_snapshot_offset
 from turmericrouter_core.control import ControlRecord
+from turmericrouter_core.control import ControlSnapshot
 from turmericrouter_core.control import decode_control
+from turmericrouter_core.control import encode_control
+from turmericrouter_core.control import RosterChange
 from turmericrouter_core.errors import ConfigError
-from turmericrouter_core.errors import LogServiceError
+from turmericrouter_core.errors import LinkError
+from turmericrouter_core.messages import ConfigDelta
+from turmericrouter_core.messages import ConfigPull
+from turmericrouter_core.messages import ConfigPush
+from turmericrouter_core.messages import Hello
+from turmericrouter_core.messages import LogRecord
+from turmericrouter_core.replication import Action
+from turmericrouter_core.replication import ApplyRecord
+from turmericrouter_core.replication import Replica
+from turmericrouter_core.replication import snapshot_offset
+from turmericrouter_core.roster import Roster
+from turmericrouter_core.roster import RosterState
 from turmericrouter_core.routing import RouteTable
+from turmericrouter_daemon.gossip import Gossip
+from turmericrouter_daemon.log_reader import LogReader
+from turmericrouter_daemon.peer import MessageRouter
 from turmericrouter_daemon.runtime import Runtime
 
-_RETRY_S = 0.5
+_PULL_TIMEOUT_S = 1.0
+NEVER_MS = -1
 
 
 class ConfigSync:
-    """Reads the log and applies its records.
+    """Applies the records of both streams, from the log and from peers.
 
     Args:
         runtime: Services of the process.
         log_service: The platform's log.
+        gossip: Choice of peers.
     """
 
-    def __init__(self, runtime: Runtime, log_service: LogService) -> None:
+    def __init__(
+        self, runtime: Runtime, log_service: LogService, gossip: Gossip
+    ) -> None:
         self._runtime = runtime
-        self._log_service = log_service
+        self._gossip = gossip
         self._state = ConfigState()
+        self._rosters = RosterState()
         self._routes = RouteTable()
-        self._control_offset = NO_OFFSET
+        self._replicas = {
+            CONFIG_STREAM: Replica(snapshot_offset),
+            CONTROL_STREAM: Replica(control_snapshot_offset),
+        }
         self._log_read_at: float | None = None
         self._config_subscribers: list[Callable[[Applied], None]] = []
-        self._control_subscribers: list[Callable[[ControlRecord], None]] = []
-        self._tasks: list[asyncio.Task[None]] = []
+        self._control_subscribers: list[
+            Callable[[int, ControlRecord], None]
+        ] = []
+        self._roster_subscribers: list[Callable[[], None]] = []
+        self._pull_timer: Subscription | None = None
+        self._is_pulling = False
+        self._reader = LogReader(runtime, log_service, gossip, self)
 
     @property
     def state(self) -> ConfigState:
@@ -49,13 +85,33 @@
         """Return the routes in force."""
         return self._routes
 
+    @property
+    def rosters(self) -> RosterState:
+        """Return the holders of all failure domains."""
+        return self._rosters
+
+    @property
+    def reader(self) -> LogReader:
+        """Return the part that reads the log."""
+        return self._reader
+
     @property
     def log_age_s(self) -> float:
-        """Return seconds since the log is known to have been read."""
+        """Return seconds since the log is known to have been read.
+
+        By this daemon or by one it heard from, directly or not.
+        """
         if self._log_read_at is None:
             return float('inf')
         return self._runtime.clock.monotonic() - self._log_read_at
 
+    @property
+    def log_age_ms(self) -> int:
+        """Return the age as messages carry it, -1 for never."""
+        if self._log_read_at is None:
+            return NEVER_MS
+        return max(0, round(self.log_age_s * 1000))
+
     @property
     def is_stale(self) -> bool:
         """Return whether newer configuration may exist."""
@@ -65,50 +121,200 @@
         """Subscribe to applied configuration records."""
         self._config_subscribers.append(callback)
 
-    def on_control(self, callback: Callable[[ControlRecord], None]) -> None:
-        """Subscribe to control records."""
+    def on_control(
+        self, callback: Callable[[int, ControlRecord], None]
+    ) -> None:
+        """Subscribe to control records with their offset, in order.
+
+        Records that a snapshot stands for do not come; `on_rosters` tells
+        of the rosters in it.
+        """
         self._control_subscribers.append(callback)
 
+    def on_rosters(self, callback: Callable[[], None]) -> None:
+        """Subscribe to every change of `rosters`."""
+        self._roster_subscribers.append(callback)
+
+    def register(self, router: MessageRouter) -> None:
+        """Handle the messages of configuration distribution."""
+        router.register(ConfigPull, self.handle_pull)
+        router.register(ConfigPush, self.handle_push)
+
     async def start(self) -> None:
-        """Start reading."""
-        self._tasks = [
-            asyncio.create_task(self._follow(CONFIG_STREAM)),
-            asyncio.create_task(self._follow(CONTROL_STREAM)),
-        ]
+        """Start reading and pulling."""
+        self._pull_timer = self._runtime.timers.every(
+            self._runtime.settings.config.pull_period_s,
+            self.pull,
+            name='config_pull',
+        )
+        self._runtime.timers.after(0.0, self.pull, name='config_pull')
+        await self._reader.start()
 
     async def stop(self) -> None:
-        """Stop reading."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-    async def _follow(self, stream: str) -> None:
-        while True:
-            try:
-                await self._read(stream)
-            except LogServiceError as error:
-                self._runtime.log.warning(
-                    'log_read_failed', stream=stream, error=str(error)
-                )
-                await asyncio.sleep(_RETRY_S)
-
-    async def _read(self, stream: str) -> None:
-        is_config = stream == CONFIG_STREAM
-        after = self._state.offset if is_config else self._control_offset
-        page = await self._log_service.read(
-            stream,
-            after,
-            wait_s=self._runtime.settings.platform.long_poll_s,
+        """Stop reading and pulling."""
+        if self._pull_timer is not None:
+            self._pull_timer.cancel()
+        await self._reader.stop()
+
+    def replica(self, stream: str) -> Replica:
+        """Return the position in a stream."""
+        return self._replicas[stream]
+
+    def encoded_snapshot(self, stream: str) -> bytes:
+        """Return the whole state of a stream as a record."""
+        if stream == CONFIG_STREAM:
+            return encode_record(self._state.snapshot())
+        offset = self._replicas[CONTROL_STREAM].offset
+        rosters = {
+            domain: (roster.epoch, roster.holders)
+            for domain, roster in self._rosters.snapshot().items()
+        }
+        return encode_control(ControlSnapshot(offset, rosters))
+
+    def hear_log_age(self, age_ms: int, offset: int) -> None:
+        """Take in the log age of another daemon, in milliseconds.
+
+        Args:
+            age_ms: Age of the other daemon's copy, -1 for never.
+            offset: Offset of that copy. The age says nothing about a copy
+                that has less, so it is ignored until the records are here.
+        """
+        if age_ms >= 0 and self._state.offset >= offset:
+            self.note_log_read(self._runtime.clock.monotonic() - age_ms / 1000)
+
+    def note_log_read(self, at: float) -> None:
+        """Note that the copy had all of the log at a monotonic time."""
+        if self._log_read_at is None or at > self._log_read_at:
+            self._log_read_at = at
+
+    def take_page(
+        self, stream: str, after: int, page: LogPage, *, push: bool
+    ) -> None:
+        """Apply a page of the log.
+
+        Args:
+            stream: Stream that was read.
+            after: Offset after which it was read.
+            page: The log's answer.
+            push: Whether to send the records on; not those of a backlog.
+        """
+        records = tuple(
+            LogRecord(stream, record.offset, record.content())
+            for record in page.records
         )
-        self._log_read_at = self._runtime.clock.monotonic()
-        for record in page.records:
-            if is_config:
-                self._apply_config(record.offset, record.content())
+        actions = self._replicas[stream].take_page(after, page.first, records)
+        self._carry_out(stream, actions, push=push)
+
+    def handle_push(self, message: ConfigPush, sender: Hello) -> None:
+        """Apply pushed records and push on those that are new."""
+        for stream, replica in self._replicas.items():
+            mine = [r for r in message.records if r.stream == stream]
+            if mine:
+                actions = replica.take_push(mine)
+                self._carry_out(stream, actions, push=True)
+        if any(replica.has_gap for replica in self._replicas.values()):
+            self._runtime.timers.after(0.0, self.pull, name='config_gap')
+
+    def handle_pull(self, message: ConfigPull, sender: Hello) -> ConfigDelta:
+        """Return what the sender lacks."""
+        config_delta = self._replicas[CONFIG_STREAM].delta_for(
+            message.config_offset
+        )
+        control_delta = self._replicas[CONTROL_STREAM].delta_for(
+            message.control_offset
+        )
+        self.hear_log_age(message.log_age_ms, message.config_offset)
+        return ConfigDelta(
+            config_delta.records + control_delta.records,
+            self.encoded_snapshot(CONFIG_STREAM)
+            if config_delta.needs_snapshot
+            else b'',
+            self.encoded_snapshot(CONTROL_STREAM)
+            if control_delta.needs_snapshot
+            else b'',
+            self.log_age_ms,
+        )
+
+    async def pull(self) -> None:
+        """Ask one random daemon for what is missing here."""
+        address = self._gossip.choose_or_seed()
+        if address is None or self._is_pulling:
+            return
+        offsets = {name: r.offset for name, r in self._replicas.items()}
+        message = ConfigPull(
+            offsets[CONFIG_STREAM], offsets[CONTROL_STREAM], self.log_age_ms
+        )
+        self._is_pulling = True
+        try:
+            delta = await self._gossip.peers.request(
+                address, message, ConfigDelta, timeout_s=_PULL_TIMEOUT_S
+            )
+        except LinkError:
+            self._runtime.metrics.incr('config.pull_failed')
+            return
+        finally:
+            self._is_pulling = False
+        self._take_delta(delta, offsets)
+
+    def _take_delta(self, delta: ConfigDelta, offsets: dict[str, int]) -> None:
+        snapshots = {
+            CONFIG_STREAM: delta.snapshot,
+            CONTROL_STREAM: delta.control_snapshot,
+        }
+        for stream, replica in self._replicas.items():
+            records = [r for r in delta.records if r.stream == stream]
+            actions = replica.take_delta(
+                offsets[stream], records, snapshots[stream]
+            )
+            self._carry_out(stream, actions, push=False)
+        # All that the peer has is in force here now, so its age holds here.
+        self.hear_log_age(delta.log_age_ms, self._state.offset)
+
+    def _carry_out(
+        self, stream: str, actions: Iterable[Action], *, push: bool
+    ) -> None:
+        fresh = []
+        for action in actions:
+            if isinstance(action, ApplyRecord):
+                record = action.record
+                fresh.append(record)
+                if stream == CONFIG_STREAM:
+                    self._apply_config(record.offset, record.payload)
+                else:
+                    self._apply_control(record.offset, record.payload)
+            elif stream == CONFIG_STREAM:
+                self._restore_config(action.payload)
             else:
-                self._apply_control(record.offset, record.content())
+                self._restore_control(action.payload)
+        if push and fresh:
+            fanout = self._runtime.settings.config.push_fanout
+            self._gossip.send(
+                self._gossip.choose(fanout), ConfigPush(tuple(fresh))
+            )
 
     def _apply_config(self, offset: int, payload: bytes) -> None:
         applied = self._state.apply(offset, payload)
+        if applied.status is ApplyStatus.SNAPSHOT:
+            self._reader.note_snapshot(CONFIG_STREAM)
+        self._tell_config(offset, applied)
+
+    def _restore_config(self, payload: bytes) -> None:
+        snapshot = decode_record(payload)
+        assert isinstance(snapshot, Snapshot)
+        before = dict(self._state.scopes)
+        if not self._state.restore(snapshot):
+            return
+        after = self._state.scopes
+        changed = tuple(
+            scope
+            for scope in sorted(before.keys() | after.keys())
+            if before.get(scope) != after.get(scope)
+        )
+        self._tell_config(
+            snapshot.offset, Applied(ApplyStatus.SNAPSHOT, changed)
+        )
+
+    def _tell_config(self, offset: int, applied: Applied) -> None:
         if any(scope.startswith('route/') for scope in applied.changed):
             self._rebuild_routes()
         self._runtime.log.info(
@@ -116,20 +322,41 @@
             offset=offset,
             status=applied.status,
             publication=applied.publication_id,
-            scopes=','.join(applied.changed),
+            changes=len(applied.changed),
+            scopes=','.join(applied.changed[:10]),
         )
         for callback in self._config_subscribers:
             callback(applied)
 
     def _apply_control(self, offset: int, payload: bytes) -> None:
-        self._control_offset = offset
         try:
             record = decode_control(payload)
         except ConfigError as error:
             self._runtime.log.warning('control_invalid', error=str(error))
             return
+        if isinstance(record, ControlSnapshot):
+            self._reader.note_snapshot(CONTROL_STREAM)
+        changed = isinstance(record, RosterChange) and self._rosters.apply(
+            offset, record
+        )
         for callback in self._control_subscribers:
-            callback(record)
+            callback(offset, record)
+        if changed:
+            self._tell_rosters()
+
+    def _restore_control(self, payload: bytes) -> None:
+        snapshot = decode_control(payload)
+        assert isinstance(snapshot, ControlSnapshot)
+        rosters = {
+            domain: Roster(epoch, holders)
+            for domain, (epoch, holders) in snapshot.rosters.items()
+        }
+        if self._rosters.restore(rosters):
+            self._tell_rosters()
+
+    def _tell_rosters(self) -> None:
+        for callback in self._roster_subscribers:
+            callback()
 
     def _rebuild_routes(self) -> None:
         self._routes = RouteTable(
--- a/packages/daemon/src/turmericrouter_daemon/settings.py
+++ b/packages/daemon/src/turmericrouter_daemon/settings.py
@@ -222,6 +222,8 @@
             domains.
         exchange_period_s: Seconds between two exchanges of a bridge.
         secret: Key of the HMAC on datagrams; empty only on loopback.
+        expire_after_s: Seconds after which a dead member is forgotten;
+            longer than any partition lasts.
     """
 
     probe_period_s: Positive = 1.0
@@ -231,6 +233,7 @@
     bridges_per_domain: Count = 3
     exchange_period_s: Positive = 1.0
     secret: str = ''
+    expire_after_s: Positive = 21_600.0
 
 
 class OverloadSettings(_Section, frozen=True):
