Test distribution with real processes and count control traffic

Cause: Distribution had no tests with real processes, and control traffic was not counted, so its cost could not be measured. Ruled out: One statsd datagram per message (it would cost as much as the message); counts are reported once a second. In the first run the test of a leaving target failed, because the target left before its daemon knew the others; the test now waits until all daemons know each other. Conclusion: Publication, withdrawal on open connections, log outage, expired records, death, restart, stop and leave behave as designed in fleets of four daemons.

--- a/packages/daemon/src/turmericrouter_daemon/application.py
+++ b/packages/daemon/src/turmericrouter_daemon/application.py
@@ -93,7 +93,7 @@
         )
         self._directory.register(router)
         self._membership = MembershipService(
-            runtime, self._config, self._directory
+            runtime, self._config, self._directory, self._gossip
         )
         self._gate = Gate(runtime, self._config)
         self._peer_server = PeerServer(runtime, router, self._tls)
--- a/packages/daemon/src/turmericrouter_daemon/config_sync.py
+++ b/packages/daemon/src/turmericrouter_daemon/config_sync.py
@@ -224,7 +224,7 @@
             message.control_offset
         )
         self.hear_log_age(message.log_age_ms, message.config_offset)
-        return ConfigDelta(
+        delta = ConfigDelta(
             config_delta.records + control_delta.records,
             self.encoded_snapshot(CONFIG_STREAM)
             if config_delta.needs_snapshot
@@ -234,6 +234,8 @@
             else b'',
             self.log_age_ms,
         )
+        self._gossip.count_frame(delta)
+        return delta
 
     async def pull(self) -> None:
         """Ask one random daemon for what is missing here."""
@@ -246,8 +248,8 @@
         )
         self._is_pulling = True
         try:
-            delta = await self._gossip.peers.request(
-                address, message, ConfigDelta, timeout_s=_PULL_TIMEOUT_S
+            delta = await self._gossip.request(
+                address, message, ConfigDelta, _PULL_TIMEOUT_S
             )
         except LinkError:
             self._runtime.metrics.incr('config.pull_failed')
--- a/packages/daemon/src/turmericrouter_daemon/directory_sync.py
+++ b/packages/daemon/src/turmericrouter_daemon/directory_sync.py
@@ -213,9 +213,11 @@
     ) -> DirectoryDelta:
         """Return the entries of the buckets that differ."""
         differing = self._directory.differing(message.digests)
-        return DirectoryDelta(
+        delta = DirectoryDelta(
             self._directory.in_buckets(differing), self._directory.digests
         )
+        self._gossip.count_frame(delta)
+        return delta
 
     def handle_push(self, message: DirectoryPush, sender: Hello) -> None:
         """Merge pushed entries."""
@@ -278,11 +280,11 @@
 
     async def _exchange_with(self, address: str) -> None:
         directory = self._directory
-        delta = await self._gossip.peers.request(
+        delta = await self._gossip.request(
             address,
             DirectoryPull(directory.digests),
             DirectoryDelta,
-            timeout_s=_EXCHANGE_TIMEOUT_S,
+            _EXCHANGE_TIMEOUT_S,
         )
         self._contacts.pop(address, None)
         self._is_joined = True
--- a/packages/daemon/src/turmericrouter_daemon/gossip.py
+++ b/packages/daemon/src/turmericrouter_daemon/gossip.py
@@ -3,17 +3,24 @@
 import asyncio
 from collections.abc import Iterable
 import random
+from typing import TypeVar
 
+from turmericrouter_core.codec import encode_frame
 from turmericrouter_core.directory import Directory
 from turmericrouter_core.directory import Mark
 from turmericrouter_core.errors import LinkError
 from turmericrouter_core.messages import Message
+from turmericrouter_daemon.peer import NOTIFICATION
 from turmericrouter_daemon.peer import PeerPool
 from turmericrouter_daemon.runtime import Runtime
 
 # One in this many choices is a daemon of another failure domain, so that a
 # domain cut off from the platform learns from the others.
 _ELSEWHERE_EVERY = 5
+# Sent bytes and messages are reported together once in this time.
+_REPORT_PERIOD_S = 1.0
+
+_R = TypeVar('_R', bound=Message)
 
 
 class Gossip:
@@ -33,11 +40,9 @@
         self._peers = peers
         self._rng = random.Random(runtime.rng.getrandbits(64))
         self._tasks: set[asyncio.Task[None]] = set()
-
-    @property
-    def peers(self) -> PeerPool:
-        """Return the links to other daemons."""
-        return self._peers
+        self._sent_messages = 0
+        self._sent_bytes = 0
+        self._reported_at = runtime.clock.monotonic()
 
     @property
     def directory(self) -> Directory:
@@ -91,9 +96,39 @@
         chosen = self.choose(1) or self.seeds
         return self._rng.choice(chosen) if chosen else None
 
+    async def request(
+        self, address: str, message: Message, kind: type[_R], timeout_s: float
+    ) -> _R:
+        """Send a control message to a daemon and return its reply.
+
+        Raises:
+            LinkError: No reply, see `PeerPool.request`.
+        """
+        self.count_frame(message)
+        return await self._peers.request(
+            address, message, kind, timeout_s=timeout_s
+        )
+
+    def count_frame(self, message: Message) -> None:
+        """Count a frame of control traffic that is being sent."""
+        self.count_sent(len(encode_frame(NOTIFICATION, message)))
+
+    def count_sent(self, size: int) -> None:
+        """Count a message of control traffic, of a size in bytes."""
+        self._sent_messages += 1
+        self._sent_bytes += size
+        now = self._runtime.clock.monotonic()
+        if now - self._reported_at >= _REPORT_PERIOD_S:
+            metrics = self._runtime.metrics
+            metrics.incr('control.sent_messages', self._sent_messages)
+            metrics.incr('control.sent_bytes', self._sent_bytes)
+            self._sent_messages = self._sent_bytes = 0
+            self._reported_at = now
+
     def send(self, addresses: Iterable[str], message: Message) -> None:
         """Send a message in the background; it may be lost."""
         for address in addresses:
+            self.count_frame(message)
             task = asyncio.ensure_future(self._notify(address, message))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
--- a/packages/daemon/src/turmericrouter_daemon/membership_service.py
+++ b/packages/daemon/src/turmericrouter_daemon/membership_service.py
@@ -26,6 +26,7 @@
 from turmericrouter_core.messages import PingRequest
 from turmericrouter_daemon.config_sync import ConfigSync
 from turmericrouter_daemon.directory_sync import DirectorySync
+from turmericrouter_daemon.gossip import Gossip
 from turmericrouter_daemon.runtime import Runtime
 from turmericrouter_daemon.settings import Settings
 
@@ -104,18 +105,24 @@
         runtime: Services of the process.
         config: Copy whose log age the datagrams carry.
         directory: Owner of the members' entries.
+        gossip: Counts what is sent.
 
     Raises:
         SettingsError: The secret is missing.
     """
 
     def __init__(
-        self, runtime: Runtime, config: ConfigSync, directory: DirectorySync
+        self,
+        runtime: Runtime,
+        config: ConfigSync,
+        directory: DirectorySync,
+        gossip: Gossip,
     ) -> None:
         check_secret(runtime.settings)
         self._runtime = runtime
         self._config = config
         self._directory = directory
+        self._gossip = gossip
         settings = runtime.settings.membership
         # A datagram may wait for a probe period in a busy receiver.
         max_age_ms = runtime.settings.operation.max_clock_skew_ms + int(
@@ -202,4 +209,4 @@
         data = self._codec.encode(message, self._runtime.clock.wall())
         ip, _, port = address.rpartition(':')
         self._transport.sendto(data, (ip, int(port)))
-        self._runtime.metrics.incr('membership.sent')
+        self._gossip.count_sent(len(data))
--- /dev/null
+++ b/tests/system/test_config.py
@@ -0,0 +1,187 @@
+"""Configuration reaches every daemon, with and without the log."""
+
+import asyncio
+import contextlib
+import pathlib
+import time
+
+import aiohttp
+
+from turmericrouter_core.config import Fleet as FleetRecord
+from turmericrouter_core.config import Key
+from turmericrouter_core.config import Retirement
+from turmericrouter_core.config import Route
+from turmericrouter_core.config import StaleRule
+from turmericrouter_core.config import Value
+from turmericrouter_core.config import Workspace
+from turmericrouter_standins.fleet import digest_scope
+from turmericrouter_standins.fleet import Fleet
+from turmericrouter_standins.fleet import Host
+from turmericrouter_standins.fleet import ServiceSpec
+
+KEY = 'key-of-east'
+OTHER_KEY = 'key-of-west'
+DOMAINS = ('north', 'south')
+# A step that did not happen within this time counts as a failure; it bounds
+# the test, not the product.
+PATIENCE_S = 30.0
+VALUES: dict[str, Value | None] = {
+    'fleet': FleetRecord(domains=DOMAINS),
+    'workspace/east': Workspace(rate_per_s=1000, burst=1000),
+    digest_scope(KEY): Key('east'),
+    digest_scope(OTHER_KEY): Key('east'),
+    'route/plots': Route('design', '/plots'),
+    'route/strict': Route('design', '/strict', on_stale=StaleRule.REFUSE),
+}
+
+
+def _fleet(directory: pathlib.Path, **settings) -> Fleet:
+    services = [ServiceSpec('design', per_domain=2)]
+    return Fleet(directory, DOMAINS, services, settings=settings)
+
+
+async def _until(fleet: Fleet, host: Host, path: str, key: str, status: int):
+    """Wait for a status and return the last reply."""
+    deadline = time.monotonic() + PATIENCE_S
+    while True:
+        with contextlib.suppress(aiohttp.ClientError):
+            reply = await fleet.call(host, path, key=key)
+            if reply.status == status:
+                return reply
+        assert time.monotonic() < deadline, f'{host.name} {path} {status}'
+        await asyncio.sleep(0.05)
+
+
+async def _restart(fleet: Fleet, host: Host) -> None:
+    host.daemon.kill()
+    host.daemon.start()
+    await fleet.wait_for(host.entry_url)
+
+
+def _with_seeds(fleet: Fleet) -> None:
+    """Let daemons find each other without the log."""
+    seeds = ', '.join(f'"{host.address}"' for host in fleet.hosts)
+    for host in fleet.hosts:
+        path = fleet.directory / f'{host.name}.toml'
+        text = path.read_text()
+        path.write_text(text.replace('[host]', f'[host]\npeers = [{seeds}]'))
+
+
+async def _check_publications(directory: pathlib.Path) -> None:
+    async with _fleet(directory) as fleet:
+        await fleet.publish(VALUES)
+        await fleet.wait_served('/plots', key=KEY)
+        await fleet.publish({'route/late': Route('design', '/late')})
+        await fleet.wait_served('/late', key=KEY)
+        # One connection stays open over the withdrawal at each entry.
+        async with contextlib.AsyncExitStack() as stack:
+            sessions = []
+            for host in fleet.hosts:
+                session = await stack.enter_async_context(
+                    aiohttp.ClientSession(
+                        connector=aiohttp.TCPConnector(limit=1)
+                    )
+                )
+                sessions.append((session, host.entry_url + '/plots'))
+            for session, url in sessions:
+                assert await _status(session, url) == 200
+            await fleet.publish(
+                {digest_scope(KEY): Key('east', withdrawn=True)}
+            )
+            deadline = time.monotonic() + PATIENCE_S
+            for session, url in sessions:
+                while await _status(session, url) != 401:
+                    assert time.monotonic() < deadline
+                    await asyncio.sleep(0.05)
+            for _ in range(20):
+                for session, url in sessions:
+                    assert await _status(session, url) == 401
+        await fleet.wait_served('/plots', key=OTHER_KEY)
+
+
+async def _status(session: aiohttp.ClientSession, url: str) -> int:
+    headers = {'Authorization': f'Bearer {KEY}'}
+    async with session.get(url, headers=headers) as response:
+        await response.read()
+        return response.status
+
+
+async def _check_log_down(directory: pathlib.Path) -> None:
+    fleet = _fleet(directory, config={'stale_after_s': 3.0})
+    _with_seeds(fleet)
+    async with fleet:
+        await fleet.publish(VALUES)
+        await fleet.wait_served('/plots', key=KEY)
+        await fleet.publish({digest_scope(KEY): Key('east', withdrawn=True)})
+        for host in fleet.hosts:
+            await _until(fleet, host, '/plots', KEY, 401)
+        await fleet.set_log_faults(down=True)
+        restarted = fleet.hosts[0]
+        await _restart(fleet, restarted)
+        await _until(fleet, restarted, '/plots', OTHER_KEY, 200)
+        reply = await _until(fleet, restarted, '/plots', KEY, 401)
+        assert reply.reason == 'key-withdrawn'
+        await fleet.set_log_faults(down=False)
+        await fleet.publish({'route/late': Route('design', '/late')})
+        await fleet.wait_served('/late', key=OTHER_KEY)
+
+
+async def _check_retention(directory: pathlib.Path) -> None:
+    fleet = _fleet(directory, platform={'retention_s': 4.0})
+    newcomer = fleet.hosts[-1]
+    async with fleet:
+        newcomer.daemon.kill()
+        await fleet.set_log_faults(retention_s=4.0)
+        await fleet.publish(VALUES)
+        others = fleet.hosts[:-1]
+        await fleet.wait_served('/plots', key=KEY, hosts=others)
+        # The publication itself has expired after this time.
+        await asyncio.sleep(10.0)
+        newcomer.daemon.start()
+        await fleet.wait_for(newcomer.entry_url)
+        await _until(fleet, newcomer, '/plots', KEY, 200)
+        # With all others gone only the log can have told the next one.
+        for host in others:
+            host.daemon.kill()
+        await _restart(fleet, newcomer)
+        await _until(fleet, newcomer, '/plots', KEY, 200)
+
+
+async def _check_retired(directory: pathlib.Path) -> None:
+    async with _fleet(directory) as fleet:
+        await fleet.publish(VALUES)
+        await fleet.wait_served('/plots', key=KEY)
+        retired = fleet.hosts[0]
+        published_at = time.time()
+        await fleet.publish({f'retirement/{retired.name}': Retirement()})
+        while time.time() < published_at + 6.0:
+            for host in fleet.hosts:
+                await fleet.call(host, '/plots', key=KEY)
+        entries = fleet.ledger(retired)
+        assert entries
+        late = [entry for entry in entries if entry.at > published_at + 3.0]
+        assert late == []
+
+
+def test_publication_and_withdrawal_reach_every_entry(
+    tmp_path: pathlib.Path,
+) -> None:
+    asyncio.run(_check_publications(tmp_path))
+
+
+def test_daemon_learns_configuration_from_peers_while_log_is_down(
+    tmp_path: pathlib.Path,
+) -> None:
+    asyncio.run(_check_log_down(tmp_path))
+
+
+def test_daemon_that_starts_after_records_expired_has_configuration(
+    tmp_path: pathlib.Path,
+) -> None:
+    asyncio.run(_check_retention(tmp_path))
+
+
+def test_retired_target_gets_no_request_after_3_s(
+    tmp_path: pathlib.Path,
+) -> None:
+    asyncio.run(_check_retired(tmp_path))
--- /dev/null
+++ b/tests/system/test_membership.py
@@ -0,0 +1,136 @@
+"""Daemons that die, come back or leave, seen from the others."""
+
+import asyncio
+import pathlib
+import time
+
+from turmericrouter_core.config import Fleet as FleetRecord
+from turmericrouter_core.config import Key
+from turmericrouter_core.config import Route
+from turmericrouter_core.config import Value
+from turmericrouter_core.config import Workspace
+from turmericrouter_standins.fleet import digest_scope
+from turmericrouter_standins.fleet import Fleet
+from turmericrouter_standins.fleet import Host
+from turmericrouter_standins.fleet import ServiceSpec
+
+KEY = 'key-of-east'
+DOMAINS = ('north', 'south')
+PATIENCE_S = 30.0
+VALUES: dict[str, Value | None] = {
+    'fleet': FleetRecord(domains=DOMAINS),
+    'workspace/east': Workspace(rate_per_s=1000, burst=1000),
+    digest_scope(KEY): Key('east'),
+    'route/plots': Route('design', '/plots'),
+}
+
+
+def _fleet(directory: pathlib.Path) -> Fleet:
+    services = [ServiceSpec('design', per_domain=2)]
+    secret = {'secret': 'shared-by-the-fleet'}
+    return Fleet(directory, DOMAINS, services, settings={'membership': secret})
+
+
+def _changes(host: Host, member: Host) -> list[dict[str, str]]:
+    """Return the changes of a member's entry that a daemon has logged."""
+    lines = host.daemon.output.read_text().splitlines()
+    pairs = [
+        dict(part.partition('=')[::2] for part in line.split())
+        for line in lines
+        if 'event=directory_changed' in line
+    ]
+    return [p for p in pairs if p['member'] == member.address]
+
+
+async def _wait_seen(
+    fleet: Fleet, member: Host, field: str, value: str
+) -> None:
+    """Wait until the other running daemons see a member in a state."""
+    deadline = time.monotonic() + PATIENCE_S
+    for host in fleet.hosts:
+        if host is member or not host.daemon.is_running:
+            continue
+        while True:
+            changes = _changes(host, member)
+            if changes and changes[-1][field] == value:
+                break
+            assert time.monotonic() < deadline, (host.name, changes)
+            await asyncio.sleep(0.1)
+
+
+async def _wait_ready(fleet: Fleet) -> None:
+    """Wait until every entry serves and every daemon knows all others."""
+    await fleet.publish(VALUES)
+    await fleet.wait_served('/plots', key=KEY)
+    for host in fleet.hosts:
+        await _wait_seen(fleet, host, 'state', 'SERVING')
+
+
+async def _check_kill(directory: pathlib.Path) -> None:
+    async with _fleet(directory) as fleet:
+        await _wait_ready(fleet)
+        killed = fleet.hosts[0]
+        killed.daemon.kill()
+        await _wait_seen(fleet, killed, 'mark', 'DEAD')
+        killed.daemon.start()
+        await fleet.wait_for(killed.entry_url)
+        await _wait_seen(fleet, killed, 'mark', 'ALIVE')
+        await _wait_seen(fleet, killed, 'state', 'SERVING')
+        for host in fleet.hosts[1:]:
+            for other in fleet.hosts[1:]:
+                marks = {c['mark'] for c in _changes(host, other)}
+                assert 'DEAD' not in marks
+
+
+async def _check_stop(directory: pathlib.Path) -> None:
+    async with _fleet(directory) as fleet:
+        await _wait_ready(fleet)
+        stopped = fleet.hosts[0]
+        stopped.daemon.send_signal(15)
+        await stopped.daemon.wait(PATIENCE_S)
+        await _wait_seen(fleet, stopped, 'mark', 'DEAD')
+        neighbour = fleet.hosts[1]
+        states = [
+            (change['state'], change['mark'])
+            for change in _changes(neighbour, stopped)
+        ]
+        # Announced by itself, so nobody had to suspect it first.
+        assert ('LEAVING', 'ALIVE') in states
+        assert states[-1] == ('LEAVING', 'DEAD')
+
+
+async def _check_leave(directory: pathlib.Path) -> None:
+    async with _fleet(directory) as fleet:
+        await _wait_ready(fleet)
+        leaving = fleet.hosts[0]
+        async with fleet.session.put(
+            f'{leaving.target_url}/_leave'
+        ) as response:
+            left_at = (await response.json())['left_at']
+        refused = 0
+        while time.time() < left_at + 6.0:
+            for host in fleet.hosts:
+                reply = await fleet.call(host, '/plots', key=KEY)
+                refused += reply.status != 200
+        entries = fleet.ledger(leaving)
+        assert entries
+        late = [entry for entry in entries if entry.at > left_at + 3.0]
+        assert late == []
+        assert refused == 0
+        await _wait_seen(fleet, leaving, 'state', 'LEAVING')
+
+
+def test_killed_daemon_leaves_directories_and_comes_back(
+    tmp_path: pathlib.Path,
+) -> None:
+    asyncio.run(_check_kill(tmp_path))
+
+
+def test_stopped_daemon_announces_its_end(tmp_path: pathlib.Path) -> None:
+    asyncio.run(_check_stop(tmp_path))
+
+
+def test_leaving_target_gets_no_request_after_3_s(
+    tmp_path: pathlib.Path,
+) -> None:
+    asyncio.run(_check_leave(tmp_path))
