--- a/tests/system/test_config.py
+++ b/tests/system/test_config.py
@@ -35,9 +35,11 @@
 }
 
 
-def _fleet(directory: pathlib.Path, **settings) -> Fleet:
+def _fleet(
+    directory: pathlib.Path, *, links: bool = False, **settings
+) -> Fleet:
     services = [ServiceSpec('design', per_domain=2)]
-    return Fleet(directory, DOMAINS, services, settings=settings)
+    return Fleet(directory, DOMAINS, services, settings=settings, links=links)
 
 
 async def _until(fleet: Fleet, host: Host, path: str, key: str, status: int):
@@ -121,9 +123,44 @@
         await _until(fleet, restarted, '/plots', OTHER_KEY, 200)
         reply = await _until(fleet, restarted, '/plots', KEY, 401)
         assert reply.reason == 'key-withdrawn'
+        for host in fleet.hosts:
+            reply = await _until(fleet, host, '/strict', OTHER_KEY, 503)
+            assert reply.reason == 'config-stale'
         await fleet.set_log_faults(down=False)
         await fleet.publish({'route/late': Route('design', '/late')})
         await fleet.wait_served('/late', key=OTHER_KEY)
+        await fleet.wait_served('/strict', key=OTHER_KEY)
+
+
+async def _check_cut(directory: pathlib.Path) -> None:
+    fleet = _fleet(directory, links=True, config={'stale_after_s': 4.0})
+    async with fleet:
+        await fleet.publish(VALUES)
+        await fleet.wait_served('/strict', key=KEY)
+        north, south = (fleet.in_domain(name) for name in DOMAINS)
+        await fleet.set_links(cuts=[('south', 'platform')])
+        await fleet.publish({'route/late': Route('design', '/late')})
+        for host in south:
+            await _until(fleet, host, '/late', KEY, 200)
+        # The age of the log comes from the other domain as well.
+        until = time.monotonic() + 8.0
+        while time.monotonic() < until:
+            for host in south:
+                reply = await fleet.call(host, '/strict', key=KEY)
+                assert reply.status == 200, reply.reason
+            await asyncio.sleep(0.2)
+        await fleet.set_links(cuts=[('south', 'platform'), ('south', 'north')])
+        await fleet.publish({digest_scope(KEY): Key('east', withdrawn=True)})
+        for host in north:
+            await _until(fleet, host, '/plots', KEY, 401)
+        for host in south:
+            reply = await _until(fleet, host, '/strict', KEY, 503)
+            assert reply.reason == 'config-stale'
+            assert (await fleet.call(host, '/plots', key=KEY)).status == 200
+        await fleet.set_links()
+        for host in south:
+            await _until(fleet, host, '/plots', KEY, 401)
+            await _until(fleet, host, '/strict', OTHER_KEY, 200)
 
 
 async def _check_retention(directory: pathlib.Path) -> None:
@@ -175,6 +212,12 @@
     asyncio.run(_check_log_down(tmp_path))
 
 
+def test_cut_off_domain_learns_from_others_or_knows_it_is_stale(
+    tmp_path: pathlib.Path,
+) -> None:
+    asyncio.run(_check_cut(tmp_path))
+
+
 def test_daemon_that_starts_after_records_expired_has_configuration(
     tmp_path: pathlib.Path,
 ) -> None:
