--- a/tests/system/test_config.py
+++ b/tests/system/test_config.py
@@ -130,6 +130,11 @@
         await fleet.publish({'route/late': Route('design', '/late')})
         await fleet.wait_served('/late', key=OTHER_KEY)
         await fleet.wait_served('/strict', key=OTHER_KEY)
+        # Slow answers delay a publication, but nothing else.
+        await fleet.set_log_faults(delay_ms=1500)
+        await _restart(fleet, restarted)
+        await fleet.publish({'route/slow': Route('design', '/slow')})
+        await fleet.wait_served('/slow', key=OTHER_KEY)
 
 
 async def _check_cut(directory: pathlib.Path) -> None:
--- a/tests/system/test_membership.py
+++ b/tests/system/test_membership.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import pathlib
+import signal
 import time
 
 from turmericrouter_core.config import Fleet as FleetRecord
@@ -82,11 +83,24 @@
                 assert 'DEAD' not in marks
 
 
+async def _check_pause(directory: pathlib.Path) -> None:
+    async with _fleet(directory) as fleet:
+        await _wait_ready(fleet)
+        paused = fleet.hosts[0]
+        paused.daemon.send_signal(signal.SIGSTOP)
+        await _wait_seen(fleet, paused, 'mark', 'DEAD')
+        paused.daemon.send_signal(signal.SIGCONT)
+        await _wait_seen(fleet, paused, 'mark', 'ALIVE')
+        for other in fleet.hosts[1:]:
+            marks = {change['mark'] for change in _changes(paused, other)}
+            assert 'DEAD' not in marks
+
+
 async def _check_stop(directory: pathlib.Path) -> None:
     async with _fleet(directory) as fleet:
         await _wait_ready(fleet)
         stopped = fleet.hosts[0]
-        stopped.daemon.send_signal(15)
+        stopped.daemon.send_signal(signal.SIGTERM)
         await stopped.daemon.wait(PATIENCE_S)
         await _wait_seen(fleet, stopped, 'mark', 'DEAD')
         neighbour = fleet.hosts[1]
@@ -126,6 +140,12 @@
     asyncio.run(_check_kill(tmp_path))
 
 
+def test_paused_daemon_is_taken_back_and_blames_nobody(
+    tmp_path: pathlib.Path,
+) -> None:
+    asyncio.run(_check_pause(tmp_path))
+
+
 def test_stopped_daemon_announces_its_end(tmp_path: pathlib.Path) -> None:
     asyncio.run(_check_stop(tmp_path))
 
