--- a/packages/daemon/src/turmericrouter_daemon/directory_sync.py
+++ b/packages/daemon/src/turmericrouter_daemon/directory_sync.py
@@ -240,15 +240,7 @@
     def _tell(
         self, entries: tuple[DirectoryEntry, ...], *, is_news: bool
     ) -> None:
-        for entry in entries:
-            self._runtime.log.info(
-                'directory_changed',
-                member=entry.address,
-                target=entry.target,
-                state=MemberState(entry.state).name,
-                mark=Mark(entry.mark).name,
-                version=entry.version,
-            )
+        self._log_changes(entries)
         for callback in self._change_subscribers:
             callback(entries)
         if not is_news:
@@ -264,6 +256,22 @@
                 self._gossip.choose(fanout), DirectoryPush(pushed)
             )
 
+    def _log_changes(self, entries: tuple[DirectoryEntry, ...]) -> None:
+        log = self._runtime.log
+        if len(entries) > _MAX_NEWS:
+            # A daemon that joins learns of the whole fleet at once.
+            log.info('directory_exchanged', entries=len(entries))
+            return
+        for entry in entries:
+            log.info(
+                'directory_changed',
+                member=entry.address,
+                target=entry.target,
+                state=MemberState(entry.state).name,
+                mark=Mark(entry.mark).name,
+                version=entry.version,
+            )
+
     async def _exchange(self) -> None:
         if self._is_exchanging:
             return
