Test arrivals at the level itself and drops of cancelled requests

Cause: Two changes made on a scratch copy went unnoticed by the tests: an admission level that lets the request at the level pass, and an answer set for a request that was cancelled in the same moment. Ruled out: Nothing. Before and after: With either change tests/core/test_shedding.py and tests/daemon/test_gate.py passed before and fail now. Conclusion: Both are guarded.

--- a/tests/core/test_shedding.py
+++ b/tests/core/test_shedding.py
@@ -57,6 +57,13 @@
                 self.refused or (importance, bucket), (importance, bucket)
             )
 
+    @rule()
+    def arrive_at_level(self) -> None:
+        importance, bucket = _key(self.controller.level(self.now))
+        if importance < len(Importance):
+            rank = Importance(importance)
+            assert not self.controller.arrived(self.now, rank, bucket, 1)
+
     @rule(delay_s=st.floats(0, 1), queued=st.integers(0, 3))
     def start(self, delay_s: float, queued: int) -> None:
         self.controller.started(self.now, delay_s, queued)
--- a/tests/daemon/test_gate.py
+++ b/tests/daemon/test_gate.py
@@ -301,6 +301,21 @@
     _bench(check)
 
 
+def test_cancelled_request_may_be_dropped_at_the_same_moment() -> None:
+    """Fails if the gate answers a request whose caller has just gone."""
+
+    async def check(bench: Bench) -> None:
+        (running,) = await bench.hold()
+        (first,) = await bench.queue('/first')
+        first.cancel()
+        bench.gate.leave()
+        bench.opened.set()
+        assert (await running).verdict is Verdict.RAN
+        assert bench.paths == ['/hold/0']
+
+    _bench(check)
+
+
 def test_deadline_decides_verdict() -> None:
     """Fails if an expired request at the target claims not to have run."""
 
