Remove an unused property of the directory

Before and after: 23 tests pass in 9.8 s (python -m pytest tests/core tests/daemon). Conclusion: No change of behaviour.

--- a/packages/daemon/src/turmericrouter_daemon/directory_sync.py
+++ b/packages/daemon/src/turmericrouter_daemon/directory_sync.py
@@ -102,11 +102,6 @@
         """Return this daemon's entry."""
         return self._own
 
-    @property
-    def is_joined(self) -> bool:
-        """Return whether directories were exchanged with another daemon."""
-        return self._is_joined
-
     def on_change(self, callback: ChangeCallback) -> None:
         """Subscribe to entries that are new or have changed."""
         self._change_subscribers.append(callback)
