Add the operators' library, publisher, turmericctl and admin interface

Cause: operators could not build, check, publish or inspect anything, and the daemon reported only its first mistake in settings.

Ruled out: replacing keys and retirements that a document lacks, since both are changed by commands of their own while traffic runs; generated gRPC code.

The graceful stop took 19 s with an idle caller connection, because aiohttp waits for idle connections unless they are closed first.

--- /dev/null
+++ b/packages/core/src/turmericrouter_core/checking.py
@@ -0,0 +1,136 @@
+"""Checks of settings and documents that report every mistake at once."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import dataclasses
+from typing import Any
+from typing import TypeVar
+
+import msgspec
+
+_T = TypeVar('_T', bound=msgspec.Struct)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Mistake:
+    """One mistake in a file, an environment variable or a flag.
+
+    Args:
+        source: Where the value stands.
+        name: Dotted name of the value.
+        problem: What is wrong, with the allowed values.
+    """
+
+    source: str
+    name: str
+    problem: str
+
+    def __str__(self) -> str:
+        return f'{self.source}: {self.name}: {self.problem}'
+
+
+def allowed_values(annotation: Any) -> str:
+    """Return the allowed values of a type in words."""
+    return _describe(msgspec.inspect.type_info(annotation))
+
+
+def _describe(info: msgspec.inspect.Type) -> str:
+    inspect = msgspec.inspect
+    if isinstance(info, inspect.EnumType):
+        return 'one of ' + ', '.join(str(item.value) for item in info.cls)
+    if isinstance(info, inspect.LiteralType):
+        return 'one of ' + ', '.join(str(item) for item in info.values)
+    if isinstance(info, inspect.IntType):
+        return 'an integer' + _range(info)
+    if isinstance(info, inspect.FloatType):
+        return 'a number' + _range(info)
+    if isinstance(info, inspect.BoolType):
+        return 'true or false'
+    if isinstance(info, inspect.VarTupleType):
+        return f'a list; each item {_describe(info.item_type)}'
+    if isinstance(info, inspect.UnionType):
+        kinds = [k for k in info.types if not isinstance(k, inspect.NoneType)]
+        return ' or '.join(_describe(kind) for kind in kinds)
+    return _describe_plain(info)
+
+
+def _describe_plain(info: msgspec.inspect.Type) -> str:
+    if isinstance(info, msgspec.inspect.DictType):
+        return f'a table; each value {_describe(info.value_type)}'
+    if isinstance(info, msgspec.inspect.StrType):
+        return f'a text matching {info.pattern}' if info.pattern else 'a text'
+    return 'a table'
+
+
+def _range(info: msgspec.inspect.IntType | msgspec.inspect.FloatType) -> str:
+    words = [
+        f'{word} {bound:g}'
+        for word, bound in (
+            ('above', info.gt),
+            ('at least', info.ge),
+            ('below', info.lt),
+            ('at most', info.le),
+        )
+        if bound is not None
+    ]
+    return ' ' + ' and '.join(words) if words else ''
+
+
+def check_fields(
+    values: object,
+    kind: type[_T],
+    *,
+    name: str,
+    source: Callable[[str], str],
+    is_text: Callable[[str], bool] = lambda _: False,
+) -> tuple[_T | None, list[Mistake]]:
+    """Convert a table to a struct and report every mistake in it.
+
+    Args:
+        values: The table.
+        kind: Struct type.
+        name: Dotted name of the table.
+        source: Returns where the value of a dotted name stands.
+        is_text: Returns whether a value came as text, from the environment
+            or a flag, and is converted from it.
+
+    Returns:
+        The struct, or none if there are mistakes; the mistakes.
+    """
+    if not isinstance(values, Mapping):
+        return None, [Mistake(source(name), name, 'must be a table')]
+    fields = {field.name: field for field in msgspec.structs.fields(kind)}
+    mistakes = [
+        Mistake(
+            source(f'{name}.{unknown}'),
+            f'{name}.{unknown}',
+            'unknown name; known are ' + ', '.join(fields),
+        )
+        for unknown in values
+        if unknown not in fields
+    ]
+    made: dict[str, Any] = {}
+    for field in fields.values():
+        dotted = f'{name}.{field.name}'
+        allowed = allowed_values(field.type)
+        if field.name not in values:
+            if field.required:
+                problem = f'missing; must be {allowed}'
+                mistakes.append(Mistake(source(dotted), dotted, problem))
+            continue
+        try:
+            made[field.name] = _convert(
+                values[field.name], field.type, as_text=is_text(dotted)
+            )
+        except msgspec.ValidationError as error:
+            problem = f'must be {allowed} ({error})'
+            mistakes.append(Mistake(source(dotted), dotted, problem))
+    return (None, mistakes) if mistakes else (kind(**made), [])
+
+
+def _convert(value: object, annotation: Any, *, as_text: bool) -> Any:
+    if as_text and isinstance(value, str):
+        info = msgspec.inspect.type_info(annotation)
+        if isinstance(info, msgspec.inspect.VarTupleType):
+            value = [part.strip() for part in value.split(',') if part.strip()]
+    return msgspec.convert(value, annotation, strict=not as_text)
--- a/packages/daemon/src/turmericrouter_daemon/application.py
+++ b/packages/daemon/src/turmericrouter_daemon/application.py
@@ -1,13 +1,15 @@
 """The daemon: its parts, started in order and stopped in reverse."""
 
 import asyncio
-import contextlib
 import gc
+import os
 import random
 import signal
 import time
+from typing import Protocol
 
 from turmericrouter_client.log_service import LogClient
+from turmericrouter_core.errors import SettingsError
 from turmericrouter_core.messages import Dispatch
 from turmericrouter_core.verdict import Refusal
 from turmericrouter_daemon.call import Answer
@@ -19,6 +21,7 @@
 from turmericrouter_daemon.entry import Entry
 from turmericrouter_daemon.gate import Gate
 from turmericrouter_daemon.local import LocalListener
+from turmericrouter_daemon.logs import LogWriter
 from turmericrouter_daemon.logs import open_log
 from turmericrouter_daemon.metrics import open_metrics
 from turmericrouter_daemon.peer import MessageRouter
@@ -33,6 +36,19 @@
 
 # A second signal ends the process at once with this status.
 FORCED_EXIT_STATUS = 3
+GAUGE_PERIOD_S = 10.0
+# Least time for the last answers to leave after the drain.
+_CLOSE_S = 1.0
+
+
+class _Part(Protocol):
+    """A part that is started and stopped."""
+
+    async def start(self) -> None:
+        """Start."""
+
+    async def stop(self) -> None:
+        """Stop."""
 
 
 class _NoQuota:
@@ -69,6 +85,7 @@
         check_plain_allowed(settings)
         self._settings = settings
         self._tls = TlsContexts(settings.tls)
+        self._log_writer = LogWriter(settings.log.file)
         self._runtime = self._make_runtime(settings)
         self._signals = 0
         self._stop_asked = asyncio.Event()
@@ -98,6 +115,7 @@
             runtime, self._config, self._gate, self._directory, dispatcher
         )
         router.register(Dispatch, self._gate.handle)
+        self._admin = self._make_admin()
 
     async def run(self) -> None:
         """Start, serve until a signal comes, and stop gracefully."""
@@ -112,6 +130,11 @@
         await self._peer_server.start()
         await self._local.start()
         await self._entry.start()
+        if self._admin is not None:
+            await self._admin.start()
+        self._runtime.timers.every(
+            GAUGE_PERIOD_S, self._report_gauges, name='gauges'
+        )
         # Objects made so far live as long as the process; collecting them
         # again and again only adds latency.
         gc.collect()
@@ -122,26 +145,69 @@
         """Announce leaving, finish what is in flight, and close."""
         stop = self._settings.stop
         self._runtime.log.info('daemon_stopping')
-        await self._directory.leave()
+        # The log may be down; peers also learn it from refusals.
+        announcing = asyncio.create_task(self._directory.leave())
         await asyncio.sleep(stop.announce_s)
         self._entry.leave()
         self._gate.leave()
-        with contextlib.suppress(TimeoutError):
+        drained_by = self._runtime.clock.monotonic() + stop.drain_s
+        try:
             async with asyncio.timeout(stop.drain_s):
                 await self._entry.drained()
                 await self._gate.drained()
-        await self._entry.stop()
+        except TimeoutError:
+            self._runtime.log.error(
+                'daemon_drain_timed_out', in_flight=self._gate.load.in_flight
+            )
+        left_s = drained_by - self._runtime.clock.monotonic()
+        await self._close(max(left_s, _CLOSE_S))
+        announcing.cancel()
+        await asyncio.gather(announcing, return_exceptions=True)
+        await self._log_client.close()
+        self._runtime.log.info('daemon_stopped')
+        self._log_writer.close()
+
+    async def _close(self, timeout_s: float) -> None:
+        """Close listeners and links after the last answers have left."""
+        await self._entry.stop(timeout_s)
         await self._local.stop()
         await self._peers.stop()
-        await self._peer_server.stop()
+        await self._peer_server.stop(timeout_s)
         await self._config.stop()
-        await self._log_client.close()
-        self._runtime.log.info('daemon_stopped')
+        if self._admin is not None:
+            await self._admin.stop()
+
+    def _make_admin(self) -> _Part | None:
+        if not self._settings.host.admin_port:
+            return None
+        # grpc takes memory, which daemons without the listener save.
+        from turmericrouter_daemon.admin import AdminHandlers
+        from turmericrouter_daemon.admin import AdminServer
+        from turmericrouter_daemon.admin import NoQuotaView
+
+        handlers = AdminHandlers(
+            self._runtime,
+            self._config,
+            self._directory,
+            self._gate,
+            NoQuotaView(),
+        )
+        return AdminServer(self._runtime, handlers)
+
+    def _report_gauges(self) -> None:
+        metrics, load = self._runtime.metrics, self._gate.load
+        metrics.gauge('gate.in_flight', load.in_flight)
+        metrics.gauge('gate.queued', load.queued)
+        metrics.gauge('gate.limit', load.limit)
+        metrics.gauge('config.offset', self._config.state.offset)
+        metrics.gauge('config.stale', int(self._config.is_stale))
+        metrics.gauge('directory.members', len(self._directory.directory))
 
     def _make_runtime(self, settings: Settings) -> Runtime:
         host = settings.host
         log = open_log(
             settings.log,
+            writer=self._log_writer,
             host=f'{host.ip}:{host.peer_port}',
             domain=host.domain,
         )
@@ -169,12 +235,17 @@
             self._stop_asked.set()
             return
         self._runtime.log.error('daemon_ended_by_second_signal')
-        raise SystemExit(FORCED_EXIT_STATUS)
+        self._log_writer.close()
+        os._exit(FORCED_EXIT_STATUS)
 
     def _on_reload_signal(self) -> None:
+        try:
+            self._log_writer.reopen()
+        except OSError as error:
+            self._runtime.log.error('log_reopen_failed', error=str(error))
         try:
             self._tls.reload()
-        except Exception as error:
+        except SettingsError as error:
             self._runtime.log.error('tls_reload_failed', error=str(error))
         else:
-            self._runtime.log.info('tls_reloaded')
+            self._runtime.log.info('files_reloaded')
--- a/packages/daemon/src/turmericrouter_daemon/cli.py
+++ b/packages/daemon/src/turmericrouter_daemon/cli.py
@@ -1,4 +1,8 @@
-"""The `turmericrouterd` command."""
+"""The `turmericrouterd` command.
+
+Exit status: 0 after a graceful stop, 1 after a failure, 2 for a mistake in
+settings or arguments, 3 when a second signal ended the process at once.
+"""
 
 import os
 import pathlib
@@ -10,12 +14,22 @@
 
 from turmericrouter_core.errors import SettingsError
 from turmericrouter_daemon.application import Application
-from turmericrouter_daemon.settings import load_settings
+from turmericrouter_daemon.reference import example_settings
 from turmericrouter_daemon.settings import Settings
+from turmericrouter_daemon.settings_file import load_settings
 
+FAILURE_STATUS = 1
 SETTINGS_ERROR_STATUS = 2
 
-app = cyclopts.App(name='turmericrouterd', help='The turmericrouter daemon.')
+app = cyclopts.App(
+    name='turmericrouterd',
+    help='The turmericrouter daemon, one per target host.',
+    help_epilogue=(
+        'Settings come from the file, then from environment variables such '
+        'as TURMERIC_HOST__IP, then from flags such as --set.host.ip; later '
+        'ones win.'
+    ),
+)
 
 _Overrides = Annotated[
     dict[str, str] | None,
@@ -33,11 +47,13 @@
 
 async def _serve(settings: Settings) -> None:
     try:
-        application = Application(settings)
+        await Application(settings).run()
     except SettingsError as error:
         print(error, file=sys.stderr)
         raise SystemExit(SETTINGS_ERROR_STATUS) from error
-    await application.run()
+    except OSError as error:
+        print(f'cannot listen: {error}', file=sys.stderr)
+        raise SystemExit(FAILURE_STATUS) from error
 
 
 @app.default
@@ -65,9 +81,18 @@
     print(f'{path}: ok')
 
 
+@app.command(name='example-settings')
+def print_example_settings() -> None:
+    """Print a settings file that names every setting."""
+    print(example_settings(), end='')
+
+
 def main() -> None:
     """Run the command line."""
-    app()
+    try:
+        app(exit_on_error=False)
+    except cyclopts.CycloptsError as error:
+        raise SystemExit(SETTINGS_ERROR_STATUS) from error
 
 
 if __name__ == '__main__':
--- a/packages/daemon/src/turmericrouter_daemon/directory_sync.py
+++ b/packages/daemon/src/turmericrouter_daemon/directory_sync.py
@@ -35,6 +35,7 @@
             0,
             MemberState.JOINING,
         )
+        self._leaving = False
         config.on_control(self._on_control)
 
     @property
@@ -58,6 +59,9 @@
     ) -> None:
         """Change this daemon's entry and announce it if it differs."""
         own = self._own
+        if self._leaving:
+            # A heartbeat of the target does not take the leave back.
+            state = MemberState.LEAVING
         changed = DirectoryEntry(
             own.address,
             own.domain,
@@ -74,6 +78,7 @@
 
     async def leave(self) -> None:
         """Announce that this daemon takes no new work."""
+        self._leaving = True
         own = self._own
         await self.update(
             MemberState.LEAVING,
--- a/packages/daemon/src/turmericrouter_daemon/entry.py
+++ b/packages/daemon/src/turmericrouter_daemon/entry.py
@@ -122,12 +122,14 @@
         """Wait until no request is in flight."""
         await self._idle.wait()
 
-    async def stop(self) -> None:
-        """Close the listener and all connections."""
+    async def stop(self, timeout_s: float = 1.0) -> None:
+        """Close the listener, and all connections once answers are sent."""
         if self._server is not None:
             self._server.close()
         if self._web_server is not None:
-            await self._web_server.shutdown(1.0)
+            # Idle connections would be waited for until the timeout.
+            self._web_server.pre_shutdown()
+            await self._web_server.shutdown(timeout_s)
 
     def _make_request(
         self,
--- a/packages/daemon/src/turmericrouter_daemon/local.py
+++ b/packages/daemon/src/turmericrouter_daemon/local.py
@@ -91,6 +91,8 @@
         if self._server is not None:
             self._server.close()
         if self._web_server is not None:
+            # Idle connections would be waited for until the timeout.
+            self._web_server.pre_shutdown()
             await self._web_server.shutdown(1.0)
 
     async def _handle(self, request: web.BaseRequest) -> web.Response:
--- a/packages/daemon/src/turmericrouter_daemon/logs.py
+++ b/packages/daemon/src/turmericrouter_daemon/logs.py
@@ -1,9 +1,12 @@
 """Structured logs: one line of key=value pairs per event."""
 
+import atexit
+import collections
+import contextlib
 import logging
+import os
 import pathlib
-import sys
-from typing import TextIO
+import threading
 
 import structlog
 
@@ -11,6 +14,12 @@
 
 Log = structlog.typing.FilteringBoundLogger
 
+FLUSH_PERIOD_S = 0.2
+# Lines kept while the file cannot be written; newer ones are dropped.
+MAX_BUFFERED_LINES = 20_000
+_CLOSE_TIMEOUT_S = 2.0
+_STANDARD_ERROR_FD = 2
+
 _LEVELS = {
     'debug': logging.DEBUG,
     'info': logging.INFO,
@@ -19,19 +28,116 @@
 }
 
 
-def _open(settings: LogSettings) -> TextIO:
-    if not settings.file:
-        return sys.stderr
-    return pathlib.Path(settings.file).open('a', buffering=1)
+class LogWriter:
+    """Buffers lines and writes them in a thread of its own.
+
+    The event loop never waits for the file: a full pipe or a slow disk
+    only fills the buffer, and lines beyond it are dropped and counted.
+
+    Args:
+        file: Path of the log file; empty for standard error.
+    """
+
+    def __init__(self, file: str = '') -> None:
+        self._file = file
+        self._lines: collections.deque[str] = collections.deque()
+        self._dropped = 0
+        self._closing = False
+        self._wake = threading.Event()
+        self._lock = threading.Lock()
+        self._descriptor = self._open()
+        self._thread = threading.Thread(
+            target=self._run, name='log-writer', daemon=True
+        )
+        self._thread.start()
+        atexit.register(self.close)
+
+    def write(self, line: str, *, urgent: bool = False) -> None:
+        """Add a line; an urgent one is written without delay."""
+        if len(self._lines) >= MAX_BUFFERED_LINES:
+            self._dropped += 1
+            return
+        self._lines.append(line)
+        if urgent:
+            self._wake.set()
+
+    def reopen(self) -> None:
+        """Open the file again, after it was moved away.
+
+        Raises:
+            OSError: The file cannot be opened; the old one stays.
+        """
+        if not self._file:
+            return
+        new = self._open()
+        with self._lock:
+            old, self._descriptor = self._descriptor, new
+        os.close(old)
+
+    def close(self) -> None:
+        """Write what is buffered and end the thread."""
+        if not self._closing:
+            self._closing = True
+            self._wake.set()
+            self._thread.join(_CLOSE_TIMEOUT_S)
+            atexit.unregister(self.close)
+
+    def _open(self) -> int:
+        if not self._file:
+            return _STANDARD_ERROR_FD
+        path = pathlib.Path(self._file)
+        return os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o640)
+
+    def _run(self) -> None:
+        while not self._closing:
+            self._wake.wait(FLUSH_PERIOD_S)
+            self._wake.clear()
+            self._flush()
+        self._flush()
+
+    def _flush(self) -> None:
+        lines = []
+        with contextlib.suppress(IndexError):
+            while True:
+                lines.append(self._lines.popleft())
+        if self._dropped:
+            dropped, self._dropped = self._dropped, 0
+            lines.append(
+                f'level=error event=log_lines_dropped count={dropped}'
+            )
+        data = '\n'.join([*lines, '']).encode(errors='replace')
+        with self._lock, contextlib.suppress(OSError):
+            while lines and data:
+                data = data[os.write(self._descriptor, data) :]
+
+
+class _LineLogger:
+    """Gives structlog's lines to the writer."""
+
+    def __init__(self, writer: LogWriter) -> None:
+        self._writer = writer
+
+    def msg(self, message: str) -> None:
+        self._writer.write(message)
+
+    def urgent(self, message: str) -> None:
+        self._writer.write(message, urgent=True)
+
+    debug = info = warning = warn = msg
+    error = critical = exception = fatal = urgent
 
 
-def open_log(settings: LogSettings, **fields: str) -> Log:
+def open_log(
+    settings: LogSettings, *, writer: LogWriter | None = None, **fields: str
+) -> Log:
     """Return the logger of the process.
 
     Args:
         settings: Level and destination.
+        writer: Writes the lines; a new one by default.
         **fields: Pairs that stand on every line.
     """
+    lines = writer or LogWriter(settings.file)
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
@@ -44,7 +150,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             _LEVELS[settings.level]
         ),
-        logger_factory=structlog.WriteLoggerFactory(_open(settings)),
+        logger_factory=lambda *_: _LineLogger(lines),
         cache_logger_on_first_use=True,
     )
     log: Log = structlog.get_logger().bind(**fields)
--- a/packages/daemon/src/turmericrouter_daemon/metrics.py
+++ b/packages/daemon/src/turmericrouter_daemon/metrics.py
@@ -1,4 +1,7 @@
-"""Metrics by statsd."""
+"""Metrics by statsd over UDP.
+
+Names and meanings are listed in docs/operations.md.
+"""
 
 from typing import Protocol
 
@@ -33,11 +36,20 @@
         """Drop a duration."""
 
 
+class _NonBlockingClient(statsd.StatsClient):  # type: ignore[misc]
+    """Drops a metric that the socket does not take at once."""
+
+    def __init__(self, host: str, port: int, prefix: str) -> None:
+        super().__init__(host, port, prefix=prefix, ipv6=':' in host)
+        # statsd ignores the error of a full socket buffer.
+        self._sock.setblocking(False)
+
+
 def open_metrics(settings: MetricsSettings) -> Metrics:
     """Return the metrics client of the process."""
     if not settings.host:
         return NoMetrics()
-    client: Metrics = statsd.StatsClient(
-        settings.host, settings.port, prefix=settings.prefix
+    client: Metrics = _NonBlockingClient(
+        settings.host, settings.port, settings.prefix
     )
     return client
--- a/packages/daemon/src/turmericrouter_daemon/peer.py
+++ b/packages/daemon/src/turmericrouter_daemon/peer.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import inspect
+import math
 from typing import Any
 from typing import cast
 from typing import TypeVar
@@ -25,6 +26,7 @@
 
 NOTIFICATION = 0
 CONNECT_TIMEOUT_S = 1.0
+_CLOSE_POLL_S = 0.01
 
 _Reply = Message | None
 Handler = Callable[[Any, Hello], _Reply | Awaitable[_Reply]]
@@ -271,12 +273,16 @@
             reuse_address=True,
         )
 
-    async def stop(self) -> None:
-        """Close the listener and all links."""
+    async def stop(self, timeout_s: float = 1.0) -> None:
+        """Close the listener, and all links once outcomes are sent."""
         if self._server is not None:
             self._server.close()
         for link in list(self._links):
             link.close()
+        for _ in range(math.ceil(timeout_s / _CLOSE_POLL_S)):
+            if not self._links:
+                return
+            await asyncio.sleep(_CLOSE_POLL_S)
 
     def _accept(self) -> _Link:
         link = _Link(self._runtime, self._router, self._links.discard)
--- a/packages/daemon/src/turmericrouter_daemon/settings.py
+++ b/packages/daemon/src/turmericrouter_daemon/settings.py
@@ -1,25 +1,19 @@
-"""Settings of the daemon: a TOML file, then environment, then flags.
+"""Settings of the daemon, with their units, defaults and ranges.
 
-Units are in the names. Unknown names are refused and every mistake is
-reported with its file, name and allowed values, before a socket opens.
+Units are in the names. `settings_file` reads them; docs/operations.md lists
+them.
 """
 
-from collections.abc import Mapping
-import pathlib
-import tomllib
 from typing import Annotated
-from typing import Any
+from typing import Literal
 
 import msgspec
 
-from turmericrouter_core.errors import SettingsError
-
-ENVIRONMENT_PREFIX = 'TURMERIC_'
-
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 NotNegative = Annotated[int, msgspec.Meta(ge=0)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
+LogLevel = Literal['debug', 'info', 'warning', 'error']
 
 
 class _Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -35,7 +29,7 @@
         entry_port: Port for callers.
         peer_port: TCP and UDP port for other daemons.
         local_port: Port of the listener for the local target.
-        admin_port: Port for operators.
+        admin_port: Port for operators, 0 for none.
         peers: `IP:PORT` of daemons to contact first, may be empty.
         local_ip: Loopback address of the listener for the local target.
         peer_listen_port: TCP port that is bound instead of `peer_port`,
@@ -47,7 +41,7 @@
     entry_port: Port
     peer_port: Port
     local_port: Port
-    admin_port: Port
+    admin_port: Annotated[int, msgspec.Meta(ge=0, le=65535)] = 0
     peers: tuple[str, ...] = ()
     local_ip: str = '127.0.0.1'
     peer_listen_port: Annotated[int, msgspec.Meta(ge=0, le=65535)] = 0
@@ -113,7 +107,7 @@
         decisions: Whether to log a line per routing decision.
     """
 
-    level: str = 'info'
+    level: LogLevel = 'info'
     file: str = ''
     decisions: bool = True
 
@@ -299,41 +293,3 @@
     metrics: MetricsSettings = MetricsSettings()
     tls: TlsSettings = TlsSettings()
     stop: StopSettings = StopSettings()
-
-
-def load_settings(
-    path: pathlib.Path,
-    *,
-    environment: Mapping[str, str] | None = None,
-    overrides: Mapping[str, str] | None = None,
-) -> Settings:
-    """Read and check all settings.
-
-    Args:
-        path: TOML file.
-        environment: Variables; `TURMERIC_HOST__IP` sets `host.ip`.
-        overrides: Values by dotted name; they win over the environment.
-
-    Raises:
-        SettingsError: A setting is missing, unknown or out of range.
-    """
-    try:
-        tree: dict[str, Any] = tomllib.loads(path.read_text())
-    except (OSError, tomllib.TOMLDecodeError) as error:
-        raise SettingsError(f'{path}: {error}') from error
-    for name, value in (environment or {}).items():
-        if name.startswith(ENVIRONMENT_PREFIX) and '__' in name:
-            short = name.removeprefix(ENVIRONMENT_PREFIX).lower()
-            _set(tree, short.split('__'), value)
-    for name, value in (overrides or {}).items():
-        _set(tree, name.split('.'), value)
-    try:
-        return msgspec.convert(tree, Settings, strict=False)
-    except msgspec.ValidationError as error:
-        raise SettingsError(f'{path}: {error}') from error
-
-
-def _set(tree: dict[str, Any], names: list[str], value: str) -> None:
-    for name in names[:-1]:
-        tree = tree.setdefault(name, {})
-    tree[names[-1]] = value
--- a/packages/daemon/src/turmericrouter_daemon/tls.py
+++ b/packages/daemon/src/turmericrouter_daemon/tls.py
@@ -1,5 +1,6 @@
 """TLS contexts of the daemon, reloaded without dropping connections."""
 
+import dataclasses
 import ipaddress
 import ssl
 
@@ -8,11 +9,13 @@
 from turmericrouter_daemon.settings import TlsSettings
 
 
-def _server_context(certificate: str, key: str) -> ssl.SSLContext:
-    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-    context.minimum_version = ssl.TLSVersion.TLSv1_2
-    context.load_cert_chain(certificate, key)
-    return context
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Loaded:
+    """Contexts made from one reading of the files."""
+
+    entry: ssl.SSLContext | None
+    peer_server: ssl.SSLContext | None
+    peer_client: ssl.SSLContext | None
 
 
 class TlsContexts:
@@ -22,6 +25,10 @@
     CA has signed. Host names are not checked, since hosts are reached by IP
     address and the private CA signs nothing else.
 
+    A listener keeps the context it was opened with. Its handshakes switch to
+    the context loaded last, so a reload also takes back a CA, and standing
+    connections stay.
+
     Args:
         settings: Files of certificates and keys.
 
@@ -31,63 +38,83 @@
 
     def __init__(self, settings: TlsSettings) -> None:
         self._settings = settings
-        self.entry: ssl.SSLContext | None = None
-        self.peer_server: ssl.SSLContext | None = None
-        self.peer_client: ssl.SSLContext | None = None
-        try:
-            self._build()
-        except (OSError, ssl.SSLError) as error:
-            raise SettingsError(f'tls: {error}') from error
+        self._loaded = self._load()
+        self.entry = self._loaded.entry
+        self.peer_server = self._loaded.peer_server
+        if self.entry:
+            self.entry.sni_callback = self._use_entry
+        if self.peer_server:
+            self.peer_server.sni_callback = self._use_peer_server
+
+    @property
+    def peer_client(self) -> ssl.SSLContext | None:
+        """Return the context for links that this daemon opens."""
+        return self._loaded.peer_client
 
     def reload(self) -> None:
-        """Load the certificate files again, for new connections.
+        """Load the files again, for new connections.
 
         Raises:
             SettingsError: A file cannot be read; the old ones stay.
         """
+        self._loaded = self._load()
+
+    def _use_entry(
+        self, connection: ssl.SSLObject, _: str | None, __: ssl.SSLContext
+    ) -> None:
+        if self._loaded.entry:
+            connection.context = self._loaded.entry
+
+    def _use_peer_server(
+        self, connection: ssl.SSLObject, _: str | None, __: ssl.SSLContext
+    ) -> None:
+        if self._loaded.peer_server:
+            connection.context = self._loaded.peer_server
+
+    def _load(self) -> _Loaded:
         settings = self._settings
+        _check_together(settings, 'entry_certificate', 'entry_key')
+        _check_together(settings, 'peer_certificate', 'peer_key', 'fleet_ca')
         try:
-            if self.entry:
-                self.entry.load_cert_chain(
-                    settings.entry_certificate, settings.entry_key
-                )
-            for context in (self.peer_server, self.peer_client):
-                if context:
-                    context.load_cert_chain(
-                        settings.peer_certificate, settings.peer_key
-                    )
-                    context.load_verify_locations(settings.fleet_ca)
+            return _Loaded(
+                _entry_context(settings),
+                _peer_context(settings, ssl.PROTOCOL_TLS_SERVER),
+                _peer_context(settings, ssl.PROTOCOL_TLS_CLIENT),
+            )
         except (OSError, ssl.SSLError) as error:
             raise SettingsError(f'tls: {error}') from error
 
-    def _build(self) -> None:
-        settings = self._settings
-        if settings.entry_certificate:
-            self.entry = _server_context(
-                settings.entry_certificate, settings.entry_key
-            )
-        named = (
-            settings.peer_certificate,
-            settings.peer_key,
-            settings.fleet_ca,
-        )
-        if not any(named):
-            return
-        if not all(named):
-            raise SettingsError(
-                'tls: peer_certificate, peer_key and fleet_ca go together'
-            )
-        self.peer_server = _server_context(
-            settings.peer_certificate, settings.peer_key
-        )
-        self.peer_server.load_verify_locations(settings.fleet_ca)
-        self.peer_server.verify_mode = ssl.CERT_REQUIRED
-        self.peer_client = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
-        self.peer_client.check_hostname = False
-        self.peer_client.load_cert_chain(
-            settings.peer_certificate, settings.peer_key
-        )
-        self.peer_client.load_verify_locations(settings.fleet_ca)
+
+def _check_together(settings: TlsSettings, *names: str) -> None:
+    given = [bool(getattr(settings, name)) for name in names]
+    if any(given) and not all(given):
+        raise SettingsError(f'tls: {", ".join(names)} go together')
+
+
+def _entry_context(settings: TlsSettings) -> ssl.SSLContext | None:
+    if not settings.entry_certificate:
+        return None
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    context.load_cert_chain(settings.entry_certificate, settings.entry_key)
+    return context
+
+
+def _peer_context(
+    settings: TlsSettings, protocol: int
+) -> ssl.SSLContext | None:
+    if not settings.peer_certificate:
+        return None
+    context = ssl.SSLContext(protocol)
+    context.minimum_version = ssl.TLSVersion.TLSv1_3
+    context.check_hostname = False
+    context.verify_mode = ssl.CERT_REQUIRED
+    context.load_cert_chain(settings.peer_certificate, settings.peer_key)
+    context.load_verify_locations(settings.fleet_ca)
+    if protocol == ssl.PROTOCOL_TLS_SERVER:
+        # A resumed session would skip the check against a new CA.
+        context.num_tickets = 0
+    return context
 
 
 def check_plain_allowed(settings: Settings) -> None:
--- /dev/null
+++ b/packages/operator/src/turmericrouter_operator/builder.py
@@ -0,0 +1,226 @@
+"""Library with which operators build the configuration they publish.
+
+    config = Configuration(domains=['north', 'south'])
+    east = config.workspace('east', rate_per_s=100, burst=200)
+    east.key(label='tablets')
+    config.route('catalogue', service='design', path='/catalogue')
+    print(config)
+
+A new key is shown once, on standard error, and only its SHA-256 digest is
+kept. The printed document goes to `turmericctl config publish`.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import secrets
+import sys
+from typing import TextIO
+
+from turmericrouter_core.checking import Mistake
+from turmericrouter_core.config import Fleet
+from turmericrouter_core.config import Key
+from turmericrouter_core.config import key_digest
+from turmericrouter_core.config import KeylessRule
+from turmericrouter_core.config import Retirement
+from turmericrouter_core.config import Route
+from turmericrouter_core.config import StaleRule
+from turmericrouter_core.config import Value
+from turmericrouter_core.config import Workspace
+from turmericrouter_core.errors import ConfigError
+from turmericrouter_core.verdict import Importance
+from turmericrouter_operator.document import check_values
+from turmericrouter_operator.document import DocumentError
+from turmericrouter_operator.document import parse_document
+from turmericrouter_operator.document import to_toml
+
+KEY_PREFIX = 'tmk_'
+_KEY_BYTES = 32
+
+
+def mint_key() -> str:
+    """Return a new random key of a caller."""
+    return KEY_PREFIX + secrets.token_urlsafe(_KEY_BYTES)
+
+
+class WorkspaceBuilder:
+    """A workspace of a configuration, to which keys are added.
+
+    Args:
+        configuration: Where the keys are kept.
+        name: Name of the workspace.
+    """
+
+    def __init__(self, configuration: 'Configuration', name: str) -> None:
+        self._configuration = configuration
+        self.name = name
+
+    def key(
+        self, *, digest: str = '', label: str = '', withdrawn: bool = False
+    ) -> str:
+        """Add a key, by its digest or newly minted.
+
+        Args:
+            digest: SHA-256 of a known key in hexadecimal; without it a key
+                is minted and shown once on the configuration's output.
+            label: Note for operators.
+            withdrawn: Withdraw the key, for good.
+
+        Returns:
+            The new key, or an empty text if a digest was given.
+
+        Raises:
+            ConfigError: The key is already there.
+        """
+        secret = '' if digest else mint_key()
+        digest = digest or key_digest(secret)
+        self._configuration.add(
+            f'key/{digest}', Key(self.name, withdrawn, label)
+        )
+        if secret:
+            self._configuration.show_key(self.name, label, secret)
+        return secret
+
+
+class Configuration:
+    """Workspaces, keys, routes and retired targets of a fleet.
+
+    Args:
+        domains: Failure domains in the order of their first publication;
+            new ones are appended.
+        regions: Region of each failure domain.
+        keys_shown_on: Where new keys are shown.
+    """
+
+    def __init__(
+        self,
+        *,
+        domains: Iterable[str] = (),
+        regions: Mapping[str, str] | None = None,
+        keys_shown_on: TextIO | None = None,
+    ) -> None:
+        self._values: dict[str, Value] = {}
+        self._keys_shown_on = keys_shown_on
+        names = tuple(domains)
+        if names:
+            self.add('fleet', Fleet(names, dict(regions or {})))
+
+    @property
+    def values(self) -> Mapping[str, Value]:
+        """Return the values by scope."""
+        return dict(self._values)
+
+    def __str__(self) -> str:
+        return self.to_toml()
+
+    def workspace(
+        self,
+        name: str,
+        *,
+        rate_per_s: float,
+        burst: float,
+        weight: float = 1.0,
+    ) -> WorkspaceBuilder:
+        """Add a workspace.
+
+        Args:
+            name: Name of the workspace.
+            rate_per_s: Requests a second over the whole fleet.
+            burst: Requests above the rate that may come at once.
+            weight: Share at a gate relative to other workspaces.
+        """
+        value = Workspace(float(rate_per_s), float(burst), float(weight))
+        self.add(f'workspace/{name}', value)
+        return WorkspaceBuilder(self, name)
+
+    def route(
+        self,
+        name: str,
+        *,
+        service: str,
+        path: str,
+        methods: Iterable[str] = (),
+        importance: str = 'normal',
+        idempotent: bool = True,
+        open_to_all: bool = False,
+        timeout_ms: int = 10_000,
+        on_stale: str | None = None,
+        without_key: str = 'refuse',
+    ) -> None:
+        """Add a kind of request.
+
+        Args:
+            name: Name of the route.
+            service: Service that serves it.
+            path: Prefix of the path, matched by whole segments.
+            methods: HTTP methods; empty for all.
+            importance: `critical`, `high`, `normal` or `low`.
+            idempotent: Whether a request may run more than once.
+            open_to_all: Whether it needs no caller's key.
+            timeout_ms: Deadline in milliseconds.
+            on_stale: `serve` or `refuse` while configuration may be stale.
+            without_key: `refuse` or `run-once` for a non-idempotent request
+                without an idempotency key.
+
+        Raises:
+            ConfigError: A name of a rule is unknown, or the route is there.
+        """
+        names = [item.name.lower() for item in Importance]
+        if importance not in names:
+            raise ConfigError(
+                f'route {name}: importance must be one of {", ".join(names)}'
+            )
+        try:
+            value = Route(
+                service,
+                path,
+                tuple(methods),
+                Importance[importance.upper()],
+                idempotent,
+                open_to_all,
+                timeout_ms,
+                StaleRule(on_stale) if on_stale else None,
+                KeylessRule(without_key),
+            )
+        except ValueError as error:
+            raise ConfigError(f'route {name}: {error}') from error
+        self.add(f'route/{name}', value)
+
+    def retire(self, target: str, *, note: str = '') -> None:
+        """Retire a target; it gets no new work."""
+        self.add(f'retirement/{target}', Retirement(note))
+
+    def add(self, scope: str, value: Value) -> None:
+        """Add a value.
+
+        Raises:
+            ConfigError: The scope is already there.
+        """
+        if scope in self._values:
+            raise ConfigError(f'{scope} is given twice')
+        self._values[scope] = value
+
+    def show_key(self, workspace: str, label: str, secret: str) -> None:
+        """Show a new key; it cannot be shown again."""
+        output = self._keys_shown_on or sys.stderr
+        note = f' ({label})' if label else ''
+        print(f'new key of workspace {workspace}{note}: {secret}', file=output)
+
+    def mistakes(self) -> list[Mistake]:
+        """Return all mistakes, empty if the configuration can be published."""
+        source = 'configuration'
+        try:
+            parse_document(to_toml(self._values), source=source)
+        except DocumentError as error:
+            return list(error.mistakes)
+        return check_values(self._values, source=source)
+
+    def to_toml(self) -> str:
+        """Return the document to publish.
+
+        Raises:
+            DocumentError: The configuration has mistakes.
+        """
+        mistakes = self.mistakes()
+        if mistakes:
+            raise DocumentError(mistakes)
+        return to_toml(self._values)
--- /dev/null
+++ b/packages/operator/src/turmericrouter_operator/changes.py
@@ -0,0 +1,154 @@
+"""Shows, checks and publishes changes for commands."""
+
+from collections.abc import Sequence
+import json
+import sys
+from typing import Annotated
+
+import cyclopts
+
+from turmericrouter_core.config import Change
+from turmericrouter_core.config import ConfigState
+from turmericrouter_core.config import Value
+from turmericrouter_operator.document import check_values
+from turmericrouter_operator.document import DocumentError
+from turmericrouter_operator.document import to_toml
+from turmericrouter_operator.options import ExitStatus
+from turmericrouter_operator.options import Options
+from turmericrouter_operator.publisher import Publisher
+from turmericrouter_operator.tables import format_rows
+
+# Requirement for a publication to be in force everywhere.
+IN_FORCE_S = 10.0
+
+Wait = Annotated[
+    float | None,
+    cyclopts.Parameter(
+        help=f'Seconds to wait until in force; {IN_FORCE_S:g} is enough in a '
+        'healthy fleet.'
+    ),
+]
+
+
+def check_result(
+    state: ConfigState, changes: Sequence[Change], *, source: str
+) -> None:
+    """Refuse changes after which the configuration would have mistakes.
+
+    Mistakes that are in force already do not block other changes, such as
+    the withdrawal of a key.
+
+    Raises:
+        DocumentError: The changes make new mistakes.
+    """
+    before: dict[str, Value] = {
+        scope: held.value for scope, held in state.scopes.items()
+    }
+    after = dict(before)
+    for change in changes:
+        if change.value is None:
+            after.pop(change.scope, None)
+        else:
+            after[change.scope] = change.value
+    known = {str(m) for m in check_values(before, source=source)}
+    mistakes = [
+        mistake
+        for mistake in check_values(after, source=source)
+        if str(mistake) not in known
+    ]
+    if mistakes:
+        raise DocumentError(mistakes)
+
+
+def describe_changes(
+    state: ConfigState, changes: Sequence[Change], *, as_json: bool
+) -> str:
+    """Return the changes as a difference of documents, or as JSON."""
+    if as_json:
+        return json.dumps(
+            [
+                {
+                    'scope': change.scope,
+                    'base': change.base,
+                    'old': _document(state, change.scope),
+                    'new': _new_document(change),
+                }
+                for change in changes
+            ]
+        )
+    lines: list[str] = []
+    for change in changes:
+        old = _document(state, change.scope).splitlines()
+        new = _new_document(change).splitlines()
+        lines += [f'- {line}' for line in old if line not in new[1:]]
+        lines += [f'+ {line}' for line in new if line not in old[1:]]
+    return '\n'.join(lines) or 'nothing to change'
+
+
+async def publish_changes(
+    publisher: Publisher,
+    changes: Sequence[Change],
+    options: Options,
+    wait_s: float | None,
+) -> int:
+    """Publish changes, report, and return the exit status.
+
+    Args:
+        publisher: Publishes.
+        changes: Changes; none is no mistake.
+        options: Shared options.
+        wait_s: Seconds to wait until in force, none not to wait.
+    """
+    if not changes:
+        print(json.dumps([]) if options.as_json else 'nothing to change')
+        return ExitStatus.OK
+    published = await publisher.publish(tuple(changes), author=options.author)
+    if options.as_json:
+        print(
+            json.dumps(
+                {
+                    'publication': published.publication_id,
+                    'offset': published.offset,
+                    'scopes': published.scopes,
+                }
+            )
+        )
+    else:
+        print(
+            f'accepted at offset {published.offset}: '
+            + ', '.join(published.scopes)
+        )
+    if wait_s is None:
+        return ExitStatus.OK
+    return await _report_progress(published.offset, options, wait_s)
+
+
+async def _report_progress(
+    offset: int, options: Options, wait_s: float
+) -> int:
+    progress = await options.members().wait_in_force(offset, timeout_s=wait_s)
+    columns = ('domain', 'complete', 'in_force', 'behind', 'unreachable')
+    rows = [
+        {
+            'domain': domain.domain,
+            'complete': domain.is_complete,
+            'in_force': domain.in_force,
+            'behind': domain.behind,
+            'unreachable': domain.unreachable,
+        }
+        for domain in progress
+    ]
+    print(format_rows(rows, columns, as_json=options.as_json))
+    if all(domain.is_complete for domain in progress):
+        return ExitStatus.OK
+    print(f'offset {offset} is not in force everywhere', file=sys.stderr)
+    return ExitStatus.UNREACHABLE
+
+
+def _document(state: ConfigState, scope: str) -> str:
+    held = state.scopes.get(scope)
+    return to_toml({scope: held.value}) if held else ''
+
+
+def _new_document(change: Change) -> str:
+    return to_toml({change.scope: change.value}) if change.value else ''
