--- a/packages/daemon/src/turmericrouter_daemon/cli.py
+++ b/packages/daemon/src/turmericrouter_daemon/cli.py
@@ -32,14 +32,21 @@
 )
 
 _Overrides = Annotated[
-    dict[str, str] | None,
+    dict[str, dict[str, str]] | None,
     cyclopts.Parameter(name='--set', help='Override, as --set.host.ip=...'),
 ]
 
 
-def _load(path: pathlib.Path, overrides: dict[str, str] | None) -> Settings:
+def _load(
+    path: pathlib.Path, overrides: dict[str, dict[str, str]] | None
+) -> Settings:
+    flags = {
+        f'{section}.{name}': value
+        for section, values in (overrides or {}).items()
+        for name, value in values.items()
+    }
     try:
-        return load_settings(path, environment=os.environ, overrides=overrides)
+        return load_settings(path, environment=os.environ, overrides=flags)
     except SettingsError as error:
         print(error, file=sys.stderr)
         raise SystemExit(SETTINGS_ERROR_STATUS) from error
