--- a/packages/operator/src/turmericrouter_operator/cli.py
+++ b/packages/operator/src/turmericrouter_operator/cli.py
@@ -50,6 +50,7 @@
 app.command(target_app)
 
 _DEFAULTS = Options()
+_File = Annotated[str, cyclopts.Parameter(allow_leading_hyphen=True)]
 _Prune = Annotated[bool, cyclopts.Parameter(negative='')]
 
 
@@ -65,7 +66,7 @@
 
 
 @config_app.command
-async def check(*files: str) -> int:
+async def check(*files: _File) -> int:
     """Check documents without publishing them.
 
     Args:
@@ -87,7 +88,7 @@
 
 @config_app.command
 async def diff(
-    file: str, *, prune: _Prune = False, options: Options = _DEFAULTS
+    file: _File, *, prune: _Prune = False, options: Options = _DEFAULTS
 ) -> int:
     """Show what publishing a document would change.
 
@@ -107,7 +108,7 @@
 
 @config_app.command
 async def publish(
-    file: str,
+    file: _File,
     *,
     prune: _Prune = False,
     wait: Wait = None,
