--- a/packages/core/src/turmericrouter_core/checking.py
+++ b/packages/core/src/turmericrouter_core/checking.py
@@ -64,7 +64,7 @@
 
 def _range(info: msgspec.inspect.IntType | msgspec.inspect.FloatType) -> str:
     words = [
-        f'{word} {bound:g}'
+        f'{word} {bound:.12g}'
         for word, bound in (
             ('above', info.gt),
             ('at least', info.ge),
--- a/packages/daemon/src/turmericrouter_daemon/cli.py
+++ b/packages/daemon/src/turmericrouter_daemon/cli.py
@@ -15,6 +15,7 @@
 from turmericrouter_core.errors import SettingsError
 from turmericrouter_daemon.application import Application
 from turmericrouter_daemon.reference import example_settings
+from turmericrouter_daemon.reference import settings_table
 from turmericrouter_daemon.settings import Settings
 from turmericrouter_daemon.settings_file import load_settings
 
@@ -94,6 +95,12 @@
     print(example_settings(), end='')
 
 
+@app.command(name='list-settings')
+def print_settings_table() -> None:
+    """Print the table of settings of docs/operations.md."""
+    print(settings_table(), end='')
+
+
 def main() -> None:
     """Run the command line."""
     try:
--- a/packages/daemon/src/turmericrouter_daemon/reference.py
+++ b/packages/daemon/src/turmericrouter_daemon/reference.py
@@ -1,4 +1,4 @@
-"""List of all settings, from which the example file is made."""
+"""List of all settings, for the example file and docs/operations.md."""
 
 from collections.abc import Iterator
 import dataclasses
@@ -72,6 +72,18 @@
     return '\n'.join(lines) + '\n'
 
 
+def settings_table() -> str:
+    """Return the table of docs/operations.md."""
+    lines = ['| setting | default | allowed | meaning |', '| - | - | - | - |']
+    lines += [
+        f'| `{entry.section}.{entry.name}` '
+        f'| {f"`{entry.default}`" if entry.default else "required"} '
+        f'| {entry.allowed} | {entry.text} |'
+        for entry in list_settings()
+    ]
+    return '\n'.join(lines) + '\n'
+
+
 def _argument_texts(section: type) -> dict[str, str]:
     """Return the descriptions in the `Args:` part of a docstring."""
     _, _, block = (inspect.getdoc(section) or '').partition('Args:\n')
--- a/tests/operator/test_document.py
+++ b/tests/operator/test_document.py
@@ -116,7 +116,7 @@
         'x.toml: key.short: a key is named by its SHA-256',
         'x.toml: route.a.path_prefix: must be a text matching ^/',
         'importance: must be one of critical, high, normal, low',
-        'timeout_ms: must be an integer at least 1 and at most 3.6e+06',
+        'timeout_ms: must be an integer at least 1 and at most 3600000',
         'x.toml: route.c: has the path and a method of route.b',
     ],
 )
--- a/tests/system/test_stop.py
+++ b/tests/system/test_stop.py
@@ -41,17 +41,32 @@
     raise AssertionError('the requests did not start')
 
 
+async def _all_targets_known(fleet: Fleet) -> None:
+    """Wait until every entry sends work to every target."""
+    for entry in fleet.hosts:
+        seen: set[str] = set()
+        for _ in range(1000):
+            reply = await fleet.call(entry, '/work')
+            if reply.status == 200:
+                seen.add(reply.json()['target'])
+            if len(seen) == len(fleet.hosts):
+                break
+            await asyncio.sleep(0.01)
+        assert len(seen) == len(fleet.hosts)
+
+
 async def _attempt(fleet: Fleet, host: Host) -> Reply | None:
     try:
         return await fleet.call(host, '/work')
-    except aiohttp.ClientConnectorError:
+    except aiohttp.ClientConnectionError:
+        # The listener is closed once all answers have left.
         return None
 
 
 async def _check_graceful(directory: pathlib.Path) -> None:
     async with _fleet(directory) as fleet:
         await fleet.publish(VALUES)
-        await fleet.wait_served('/work')
+        await _all_targets_known(fleet)
         stopped, other = fleet.hosts
         before = _runs(fleet)
         calls = [
