Report failure domains without a known daemon as not complete

Ruled out: trusting the directory of one daemon; the failure domains of the fleet record are expected too.

Conclusion: an empty directory is waited for, and reported when time is over.

--- a/packages/operator/src/turmericrouter_operator/changes.py
+++ b/packages/operator/src/turmericrouter_operator/changes.py
@@ -13,6 +13,7 @@
 from turmericrouter_operator.document import check_values
 from turmericrouter_operator.document import DocumentError
 from turmericrouter_operator.document import to_toml
+from turmericrouter_operator.members import DomainProgress
 from turmericrouter_operator.options import ExitStatus
 from turmericrouter_operator.options import Options
 from turmericrouter_operator.publisher import Publisher
@@ -120,13 +121,16 @@
         )
     if wait_s is None:
         return ExitStatus.OK
-    return await _report_progress(published.offset, options, wait_s)
+    state = await publisher.read()
+    progress = await options.members().wait_in_force(
+        published.offset, domains=state.fleet.domains, timeout_s=wait_s
+    )
+    return _report_progress(progress, published.offset, options)
 
 
-async def _report_progress(
-    offset: int, options: Options, wait_s: float
+def _report_progress(
+    progress: Sequence[DomainProgress], offset: int, options: Options
 ) -> int:
-    progress = await options.members().wait_in_force(offset, timeout_s=wait_s)
     columns = ('domain', 'complete', 'in_force', 'behind', 'unreachable')
     rows = [
         {
@@ -139,7 +143,7 @@
         for domain in progress
     ]
     print(format_rows(rows, columns, as_json=options.as_json))
-    if all(domain.is_complete for domain in progress):
+    if progress and all(domain.is_complete for domain in progress):
         return ExitStatus.OK
     print(f'offset {offset} is not in force everywhere', file=sys.stderr)
     return ExitStatus.UNREACHABLE
--- a/packages/operator/src/turmericrouter_operator/members.py
+++ b/packages/operator/src/turmericrouter_operator/members.py
@@ -56,8 +56,9 @@
 
     @property
     def is_complete(self) -> bool:
-        """Return whether it is in force on every daemon."""
-        return not self.behind and not self.unreachable
+        """Return whether it is in force on every daemon, at least one."""
+        missing = self.behind or self.unreachable
+        return self.in_force > 0 and not missing
 
 
 class Members:
@@ -117,12 +118,14 @@
         )
 
     async def wait_in_force(
-        self, offset: int, *, timeout_s: float
+        self, offset: int, *, domains: Sequence[str], timeout_s: float
     ) -> list[DomainProgress]:
         """Wait until a publication is in force in every failure domain.
 
         Args:
             offset: Offset of the publication.
+            domains: Failure domains of the fleet; a seed that has just
+                started may not know daemons of all of them.
             timeout_s: Most seconds to wait.
 
         Raises:
@@ -132,8 +135,8 @@
         while True:
             members = await self.directory()
             replies = await self.ask(members, _config_offset)
-            progress = summarise(replies, offset)
-            if all(domain.is_complete for domain in progress):
+            progress = summarise(replies, offset, domains)
+            if progress and all(domain.is_complete for domain in progress):
                 return progress
             if time.monotonic() > deadline:
                 return progress
@@ -157,14 +160,16 @@
 
 
 def summarise(
-    replies: Sequence[Reply[int]], offset: int
+    replies: Sequence[Reply[int]], offset: int, known: Sequence[str]
 ) -> list[DomainProgress]:
     """Return for each failure domain where an offset is in force.
 
+    A failure domain without any daemon is reported too, as not complete.
+
     A daemon that said it leaves and cannot be reached has stopped, so it
     does not count.
     """
-    domains: dict[str, list[Reply[int]]] = {}
+    domains: dict[str, list[Reply[int]]] = {name: [] for name in known}
     for reply in replies:
         has_stopped = reply.value is None and reply.member.state == 'leaving'
         if not has_stopped:
--- a/tests/daemon/test_settings_file.py
+++ b/tests/daemon/test_settings_file.py
@@ -1,5 +1,6 @@
 """Settings: precedence of sources, and reports of every mistake."""
 
+import os
 import pathlib
 import re
 import subprocess
@@ -109,7 +110,11 @@
 
     def run(*arguments: str) -> subprocess.CompletedProcess[str]:
         return subprocess.run(
-            [*command, *arguments], capture_output=True, text=True, timeout=60
+            [*command, *arguments],
+            env=dict(os.environ, PYTHONPATH=os.pathsep.join(sys.path)),
+            capture_output=True,
+            text=True,
+            timeout=60,
         )
 
     assert run('check-settings', str(good)).returncode == 0
--- a/tests/operator/test_members.py
+++ b/tests/operator/test_members.py
@@ -25,7 +25,7 @@
 
 def test_every_failure_domain_is_reported() -> None:
     """Guards against a domain called complete while a daemon lacks it."""
-    centre, north = summarise(
+    centre, empty, north = summarise(
         [
             _reply('north', 'a', 7),
             _reply('north', 'b', 6),
@@ -34,6 +34,7 @@
             _reply('centre', 'e', None, 'leaving'),
         ],
         7,
+        ['north', 'empty'],
     )
     assert (north.in_force, north.behind, north.unreachable) == (
         1,
@@ -44,3 +45,5 @@
     # A daemon that left and cannot be reached has stopped.
     assert centre.is_complete
     assert centre.in_force == 1
+    # A seed that has just started knows no daemon of some domains.
+    assert not empty.is_complete
