--- a/packages/daemon/src/turmericrouter_daemon/directory_sync.py
+++ b/packages/daemon/src/turmericrouter_daemon/directory_sync.py
@@ -80,6 +80,7 @@
             0,
             MemberState.JOINING,
         )
+        self._is_leaving = False
         self._directory.merge([self._own])
         self._contacts: dict[str, float] = {}
         self._is_joined = False
@@ -157,7 +158,8 @@
         connections: int,
     ) -> None:
         """Change this daemon's entry and push it if it differs."""
-        if self._config.state.is_retired(target):
+        # A heartbeat of the target does not take a leave back.
+        if self._is_leaving or self._config.state.is_retired(target):
             state = MemberState.LEAVING
         own = self._own
         changed = msgspec.structs.replace(
@@ -175,6 +177,7 @@
 
     async def leave(self) -> None:
         """Tell others that this daemon takes no new work."""
+        self._is_leaving = True
         own = self._own
         await self.update(
             MemberState.LEAVING,
