--- a/packages/core/src/turmericrouter_core/context.py
+++ b/packages/core/src/turmericrouter_core/context.py
@@ -1,8 +1,51 @@
 """Requests in flight at the local target, for their nested calls."""
 
+from collections.abc import Callable
 import dataclasses
+import hashlib
 
+from turmericrouter_core.retries import RetryAllowance
 from turmericrouter_core.verdict import Importance
+from turmericrouter_core.verdict import Reason
+from turmericrouter_core.verdict import Verdict
+
+_DIGEST_BYTES = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NestedStart:
+    """Whether a nested call may start.
+
+    Args:
+        reason: `served` if it may, else why not.
+        verdict: Whether the call may have run, for a refusal.
+        digest: Identifies the call under its context.
+        allowance: Retry allowance that moves down with the call.
+    """
+
+    reason: Reason
+    verdict: Verdict
+    digest: bytes
+    allowance: int = 0
+
+
+def call_digest(method: str, path: str, body: bytes) -> bytes:
+    """Return what identifies a nested call under its context."""
+    head = f'{method} {path}\n'.encode(errors='surrogateescape')
+    return hashlib.blake2b(head + body, digest_size=_DIGEST_BYTES).digest()
+
+
+@dataclasses.dataclass(slots=True)
+class Attempts:
+    """Earlier attempts of one nested call.
+
+    Args:
+        in_flight: Attempts without an answer so far.
+        may_have_run: Whether an ended attempt may have run.
+    """
+
+    in_flight: int = 0
+    may_have_run: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -17,10 +60,10 @@
         bucket: Shedding bucket of the top-level request.
         deadline: Monotonic seconds.
         depth: 0 for a top-level request.
-        retries_left: Retry allowance that is not spent or passed on.
+        retries_left: Retry allowance that came with the request.
         key_digest: Digest of the caller's key, empty without a key.
-        retries_used: Allowance spent by nested calls.
-        attempts: Outcome of earlier nested calls by digest.
+        allowance: Retry allowance as nested calls spend it.
+        attempts: Earlier nested calls by digest.
     """
 
     context_id: str
@@ -30,10 +73,65 @@
     bucket: int
     deadline: float
     depth: int
-    retries_left: int
+    retries_left: dataclasses.InitVar[int]
     key_digest: str = ''
-    retries_used: int = 0
-    attempts: dict[bytes, str] = dataclasses.field(default_factory=dict)
+    allowance: RetryAllowance = dataclasses.field(init=False)
+    attempts: dict[bytes, Attempts] = dataclasses.field(default_factory=dict)
+
+    def __post_init__(self, retries_left: int) -> None:
+        self.allowance = RetryAllowance(retries_left)
+
+    @property
+    def retries_used(self) -> int:
+        """Return the allowance spent by nested calls.
+
+        What a call still in flight holds counts as spent, because its
+        unspent part cannot come back once this request has ended.
+        """
+        return self.allowance.used
+
+    def start_nested(
+        self, digest: bytes, *, may_run_again: bool
+    ) -> NestedStart:
+        """Decide whether a nested call may start.
+
+        Args:
+            digest: Result of `call_digest`.
+            may_run_again: The call is idempotent, or its operation home
+                guards it.
+        """
+        earlier = self.attempts.get(digest)
+        if earlier is None:
+            earlier = self.attempts[digest] = Attempts()
+        else:
+            refused = self._refuse_again(digest, earlier, may_run_again)
+            if refused is not None:
+                return refused
+        earlier.in_flight += 1
+        return NestedStart(
+            Reason.SERVED, Verdict.RAN, digest, self.allowance.hand_down()
+        )
+
+    def finish_nested(
+        self, start: NestedStart, verdict: Verdict, retries_used: int
+    ) -> None:
+        """Record the end of a nested call that was started."""
+        attempts = self.attempts[start.digest]
+        attempts.in_flight -= 1
+        attempts.may_have_run |= verdict is not Verdict.NOT_RUN
+        self.allowance.take_back(start.allowance, retries_used)
+
+    def _refuse_again(
+        self, digest: bytes, earlier: Attempts, may_run_again: bool
+    ) -> NestedStart | None:
+        verdict = Verdict.NOT_RUN
+        if earlier.in_flight or earlier.may_have_run:
+            verdict = Verdict.MAY_HAVE_RUN
+            if not may_run_again:
+                return NestedStart(Reason.OPERATION_UNKNOWN, verdict, digest)
+        if not self.allowance.take():
+            return NestedStart(Reason.RETRY_BUDGET_EXHAUSTED, verdict, digest)
+        return None
 
 
 class ContextTable:
@@ -41,17 +139,26 @@
 
     def __init__(self) -> None:
         self._contexts: dict[str, RequestContext] = {}
+        self._subscribers: list[Callable[[RequestContext], None]] = []
 
     def __len__(self) -> int:
         return len(self._contexts)
 
+    def on_close(self, callback: Callable[[RequestContext], None]) -> None:
+        """Subscribe to contexts whose request has ended."""
+        self._subscribers.append(callback)
+
     def open(self, context: RequestContext) -> None:
         """Add the context of a request that goes to the target."""
         self._contexts[context.context_id] = context
 
     def close(self, context_id: str) -> RequestContext | None:
         """Remove the context of a request that has ended."""
-        return self._contexts.pop(context_id, None)
+        context = self._contexts.pop(context_id, None)
+        if context is not None:
+            for callback in self._subscribers:
+                callback(context)
+        return context
 
     def find(self, context_id: str) -> RequestContext | None:
         """Return the context of a request in flight."""
--- a/packages/core/src/turmericrouter_core/routing.py
+++ b/packages/core/src/turmericrouter_core/routing.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable
 import dataclasses
+import re
+from urllib.parse import unquote
 
 from turmericrouter_core.config import Route
 
@@ -14,8 +16,30 @@
     route: Route
 
 
+# Dot segments, encoded dots and slashes, backslashes and control
+# characters: a target may resolve them to the path of another route.
+_UNSAFE_PATH = re.compile(
+    r'/\.{1,2}(?:/|;|$)|%2e|%2f|%5c|%[01][0-9a-f]|%7f|[\\\x00-\x20\x7f]'
+    r'|%(?![0-9a-f]{2})',
+    re.IGNORECASE,
+)
+
+
+def is_safe_path(path: str) -> bool:
+    """Return whether every target reads a path as the route table does.
+
+    Args:
+        path: Path as it came, with or without a query.
+    """
+    if '#' in path or not path.startswith('/'):
+        return False
+    return _UNSAFE_PATH.search(path.partition('?')[0]) is None
+
+
 def _segments(path: str) -> tuple[str, ...]:
-    return tuple(part for part in path.split('/') if part)
+    # A target decodes its path, so that /%61 is /a there.
+    plain = unquote(path) if '%' in path else path
+    return tuple(part for part in plain.split('/') if part)
 
 
 class RouteTable:
