Serve callers safely and bound nested calls

Cause: unreadable requests got a plain text answer and a traceback in the log; a path such as /open/%6bept was matched as the shorter open prefix; nested calls outlived their request and could repeat without bound.

Ruled out: middleware around aiohttp's handler, since errors of the parser never reach it; counting attempts at the target, which it may not report.

Conclusion: a request refused before its operation home was asked says may-have-run, because only the home knows of earlier attempts.

--- a/packages/daemon/src/turmericrouter_daemon/application.py
+++ b/packages/daemon/src/turmericrouter_daemon/application.py
@@ -8,6 +8,7 @@
 import time
 
 from turmericrouter_client.log_service import LogClient
+from turmericrouter_core.messages import CrashMarks
 from turmericrouter_core.messages import Dispatch
 from turmericrouter_core.verdict import Refusal
 from turmericrouter_daemon.call import Answer
@@ -24,6 +25,7 @@
 from turmericrouter_daemon.peer import MessageRouter
 from turmericrouter_daemon.peer import PeerPool
 from turmericrouter_daemon.peer import PeerServer
+from turmericrouter_daemon.quarantine_service import QuarantineService
 from turmericrouter_daemon.runtime import Runtime
 from turmericrouter_daemon.settings import Settings
 from turmericrouter_daemon.timers import SystemClock
@@ -85,19 +87,25 @@
         self._gate = Gate(runtime, self._config)
         self._peers = PeerPool(runtime, router, self._tls)
         self._peer_server = PeerServer(runtime, router, self._tls)
-        dispatcher = Dispatcher(
+        self._quarantine = QuarantineService(
+            runtime, self._directory.directory, self._peers
+        )
+        self._dispatcher = dispatcher = Dispatcher(
             runtime,
+            self._config,
             self._directory.directory,
             self._gate,
             self._peers,
             _NoQuota(),
             _NoOperations(),
+            self._quarantine,
         )
         self._entry = Entry(runtime, self._config, dispatcher, self._tls)
         self._local = LocalListener(
             runtime, self._config, self._gate, self._directory, dispatcher
         )
         router.register(Dispatch, self._gate.handle)
+        router.register(CrashMarks, self._quarantine.handle)
 
     async def run(self) -> None:
         """Start, serve until a signal comes, and stop gracefully."""
@@ -110,6 +118,8 @@
         """Start all parts; callers are accepted last."""
         await self._config.start()
         await self._peer_server.start()
+        await self._quarantine.start()
+        await self._dispatcher.start()
         await self._local.start()
         await self._entry.start()
         # Objects made so far live as long as the process; collecting them
@@ -132,6 +142,7 @@
                 await self._gate.drained()
         await self._entry.stop()
         await self._local.stop()
+        await self._quarantine.stop()
         await self._peers.stop()
         await self._peer_server.stop()
         await self._config.stop()
--- /dev/null
+++ b/packages/daemon/src/turmericrouter_daemon/authorisation.py
@@ -0,0 +1,204 @@
+"""Checks a caller's request and makes it a call."""
+
+import dataclasses
+
+from aiohttp import web
+
+from turmericrouter_core.config import key_digest
+from turmericrouter_core.config import KeylessRule
+from turmericrouter_core.config import StaleRule
+from turmericrouter_core.identity import hash_bucket
+from turmericrouter_core.identity import OperationId
+from turmericrouter_core.routing import is_safe_path
+from turmericrouter_core.routing import NamedRoute
+from turmericrouter_core.verdict import Reason
+from turmericrouter_daemon.call import Answer
+from turmericrouter_daemon.call import Call
+from turmericrouter_daemon.call import Headers
+from turmericrouter_daemon.call import refuse
+from turmericrouter_daemon.config_sync import ConfigSync
+from turmericrouter_daemon.runtime import Runtime
+from turmericrouter_daemon.target import HEADER_ENCODING
+
+_BEARER = 'bearer '
+_OWN_PREFIX = 'turmeric-'
+# Digits; a longer number is above every limit.
+_LONGEST_NUMBER = 18
+_DROPPED_HEADERS = frozenset(
+    {
+        'authorization',
+        'connection',
+        'content-length',
+        'expect',
+        'host',
+        'idempotency-key',
+        'keep-alive',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
+
+
+def forwarded_headers(request: web.BaseRequest) -> Headers:
+    """Return the headers that go to the target.
+
+    The caller's key, hop-by-hop headers and the system's own headers stay
+    here.
+    """
+    pairs = (
+        (name.decode(HEADER_ENCODING), value.decode(HEADER_ENCODING))
+        for name, value in request.raw_headers
+    )
+    return tuple(
+        (name, value)
+        for name, value in pairs
+        if (lower := name.lower()) not in _DROPPED_HEADERS
+        and not lower.startswith(_OWN_PREFIX)
+    )
+
+
+def find_operation(
+    request: web.BaseRequest, named: NamedRoute
+) -> OperationId | None | Answer:
+    """Return the operation id of a request, or why it is refused."""
+    if named.route.idempotent:
+        return None
+    text = request.headers.get('Idempotency-Key', '').strip('" ')
+    if not text:
+        if named.route.without_key is KeylessRule.RUN_ONCE:
+            return None
+        return refuse(Reason.OPERATION_ID_MISSING)
+    try:
+        return OperationId.parse(text)
+    except ValueError:
+        return refuse(
+            Reason.OPERATION_ID_INVALID,
+            detail='Idempotency-Key must be a UUIDv7',
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """What a caller's key and headers allow.
+
+    Args:
+        key_digest: Digest of the key, empty without a key.
+        workspace: Workspace, empty on a route open to all.
+        operation: Id of a non-idempotent request, else none.
+    """
+
+    key_digest: str
+    workspace: str
+    operation: OperationId | None
+
+
+class Authorisation:
+    """Finds the route and checks the key of callers' requests.
+
+    Args:
+        runtime: Services of the process.
+        config: Configuration in force.
+    """
+
+    def __init__(self, runtime: Runtime, config: ConfigSync) -> None:
+        self._runtime = runtime
+        self._config = config
+
+    def find_route(self, request: web.BaseRequest) -> NamedRoute | Answer:
+        """Return the route of a request, or why there is none."""
+        if not is_safe_path(request.raw_path):
+            return refuse(
+                Reason.MALFORMED,
+                detail='path with dot segments or encoded separators',
+            )
+        if 'Upgrade' in request.headers and request.can_read_body:
+            return refuse(Reason.MALFORMED, detail='upgrade with a body')
+        named = self._config.routes.find(request.method, request.raw_path)
+        return named or refuse(Reason.ROUTE_UNKNOWN)
+
+    def check(
+        self, request: web.BaseRequest, named: NamedRoute
+    ) -> Grant | Answer:
+        """Return what a request may do, or why it is refused."""
+        route = named.route
+        if self._config.is_stale and route.stale_rule is StaleRule.REFUSE:
+            return refuse(Reason.CONFIG_STALE, retry_after_s=1.0)
+        digest, workspace = '', ''
+        if not route.open_to_all:
+            checked = self._check_key(request)
+            if isinstance(checked, Answer):
+                return checked
+            digest, workspace = checked
+        operation = find_operation(request, named)
+        if isinstance(operation, Answer):
+            return operation
+        return Grant(digest, workspace, operation)
+
+    def make_call(
+        self,
+        request: web.BaseRequest,
+        named: NamedRoute,
+        grant: Grant,
+        *,
+        request_id: str,
+        arrived_at: float,
+        body: bytes,
+    ) -> Call:
+        """Return the call of an authorised request."""
+        return Call(
+            request_id=request_id,
+            method=request.method,
+            path=request.raw_path,
+            headers=forwarded_headers(request),
+            body=body,
+            named_route=named,
+            workspace=grant.workspace,
+            key_digest=grant.key_digest,
+            importance=named.route.importance,
+            bucket=hash_bucket(request_id),
+            deadline=arrived_at + self._timeout_s(request, named),
+            retries_left=self._runtime.settings.overload.max_retries,
+            operation=grant.operation,
+        )
+
+    def refused_key(self, digest: str) -> Reason | None:
+        """Return why a key is refused, none for a key in force."""
+        state = self._config.state
+        key = state.key(digest)
+        if key is None:
+            return Reason.KEY_UNKNOWN
+        if key.withdrawn:
+            return Reason.KEY_WITHDRAWN
+        if state.workspace(key.workspace) is None:
+            return Reason.WORKSPACE_UNKNOWN
+        return None
+
+    def _check_key(self, request: web.BaseRequest) -> tuple[str, str] | Answer:
+        header = request.headers.get('Authorization', '')
+        if header[: len(_BEARER)].lower() != _BEARER:
+            return refuse(Reason.KEY_MISSING)
+        presented = header[len(_BEARER) :].strip()
+        try:
+            digest = key_digest(presented)
+        except UnicodeEncodeError:
+            return refuse(Reason.KEY_UNKNOWN)
+        reason = self.refused_key(digest)
+        if reason is not None:
+            return refuse(reason)
+        key = self._config.state.key(digest)
+        assert key is not None
+        return digest, key.workspace
+
+    def _timeout_s(self, request: web.BaseRequest, named: NamedRoute) -> float:
+        limit_ms = min(
+            named.route.timeout_ms,
+            self._runtime.settings.entry.max_timeout_ms,
+        )
+        asked = request.headers.get('Turmeric-Timeout-Ms', '')
+        if asked.isdecimal() and len(asked) <= _LONGEST_NUMBER:
+            limit_ms = min(limit_ms, int(asked))
+        return limit_ms / 1000
--- a/packages/daemon/src/turmericrouter_daemon/call.py
+++ b/packages/daemon/src/turmericrouter_daemon/call.py
@@ -61,6 +61,13 @@
         """Return whether the request came from a caller."""
         return self.parent is None
 
+    @property
+    def may_be_retried(self) -> bool:
+        """Return whether this daemon may try another target."""
+        if not self.is_top_level:
+            return False
+        return self.named_route.route.idempotent or self.operation is not None
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
--- a/packages/daemon/src/turmericrouter_daemon/dispatch.py
+++ b/packages/daemon/src/turmericrouter_daemon/dispatch.py
@@ -1,8 +1,11 @@
 """Takes one request from admission to its answer."""
 
+from collections.abc import Sequence
 import random
 from typing import Protocol
 
+from turmericrouter_core.balancing import Choice
+from turmericrouter_core.balancing import TargetChooser
 from turmericrouter_core.directory import Directory
 from turmericrouter_core.errors import LinkLostError
 from turmericrouter_core.errors import LinkTimeoutError
@@ -10,6 +13,8 @@
 from turmericrouter_core.messages import DirectoryEntry
 from turmericrouter_core.messages import Dispatch
 from turmericrouter_core.messages import Outcome
+from turmericrouter_core.retries import RetryAllowance
+from turmericrouter_core.retries import RetryBudget
 from turmericrouter_core.verdict import is_retryable
 from turmericrouter_core.verdict import Reason
 from turmericrouter_core.verdict import Refusal
@@ -18,12 +23,14 @@
 from turmericrouter_daemon.call import Answer
 from turmericrouter_daemon.call import Call
 from turmericrouter_daemon.call import refuse
+from turmericrouter_daemon.config_sync import ConfigSync
 from turmericrouter_daemon.gate import Gate
 from turmericrouter_daemon.peer import PeerPool
 from turmericrouter_daemon.runtime import Runtime
 
 # A gate keeps the deadline itself; this much later it counts as lost.
 _LINK_GRACE_S = 0.25
+_PRUNE_PERIOD_S = 60.0
 
 
 class Quota(Protocol):
@@ -46,34 +53,61 @@
         """Record the end of a started operation."""
 
 
+class Blocklist(Protocol):
+    """Requests that crash targets."""
+
+    def is_blocked(self, call: Call) -> bool:
+        """Return whether a request must not go to any target."""
+
+
 class Dispatcher:
     """Serves requests of callers and of the local target.
 
     Args:
         runtime: Services of the process.
+        config: Configuration in force.
         directory: Known targets.
         gate: Gate of the local target.
         peers: Links to other daemons.
         quota: Tokens of workspaces.
         operations: At-most-once state.
+        blocklist: Requests that crash targets.
     """
 
     def __init__(
         self,
         runtime: Runtime,
+        config: ConfigSync,
         directory: Directory,
         gate: Gate,
         peers: PeerPool,
         quota: Quota,
         operations: Operations,
+        blocklist: Blocklist,
     ) -> None:
         self._runtime = runtime
+        self._config = config
         self._directory = directory
         self._gate = gate
         self._peers = peers
         self._quota = quota
         self._operations = operations
+        self._blocklist = blocklist
         self._rng = random.Random(runtime.rng.getrandbits(64))
+        overload = runtime.settings.overload
+        self._chooser = TargetChooser(
+            runtime.settings.host.domain, shedding=overload.shedding
+        )
+        self._budget = RetryBudget(
+            ratio=overload.retry_ratio,
+            floor_per_s=overload.retry_floor_per_s,
+        )
+
+    async def start(self) -> None:
+        """Start to forget targets and budgets that are not used."""
+        self._runtime.timers.every(
+            _PRUNE_PERIOD_S, self._prune, name='dispatch_prune'
+        )
 
     async def serve(self, call: Call) -> Answer:
         """Return the answer of an authorised request."""
@@ -87,6 +121,8 @@
         return answer
 
     async def _serve_admitted(self, call: Call) -> Answer:
+        if self._blocklist.is_blocked(call):
+            return refuse(Reason.QUARANTINED)
         if not call.is_top_level or not call.workspace:
             return await self._attempt_all(call)
         refusal = await self._quota.acquire(call.workspace)
@@ -98,46 +134,122 @@
         return answer
 
     async def _attempt_all(self, call: Call) -> Answer:
-        candidates = self._directory.serving(call.service)
-        answer = refuse(Reason.NO_TARGET, retry_after_s=1.0)
-        attempts = 1
-        if call.is_top_level:
-            attempts += self._runtime.settings.overload.max_retries
-        while candidates and attempts:
-            chosen = self._rng.choice(candidates)
-            candidates.remove(chosen)
-            attempts -= 1
-            answer = await self._attempt(call, chosen)
-            if not is_retryable(answer.verdict, answer.reason):
-                break
-        return answer
+        allowance = RetryAllowance(call.retries_left)
+        tried: list[str] = []
+        answer: Answer | None = None
+        while True:
+            now = self._runtime.clock.monotonic()
+            if now >= call.deadline:
+                return answer or refuse(Reason.DEADLINE_EXPIRED)
+            choice = self._choose(call, tried, now)
+            if choice.entry is None:
+                return answer or self._refuse_choice(call, choice)
+            answer = await self._attempt(
+                call, choice, choice.entry, allowance.left
+            )
+            if not self._may_retry(call, answer, allowance):
+                return answer
+            tried.append(choice.entry.address)
+
+    def _may_retry(
+        self, call: Call, answer: Answer, allowance: RetryAllowance
+    ) -> bool:
+        now = self._runtime.clock.monotonic()
+        if not answer.is_refusal:
+            if call.is_top_level:
+                self._budget.succeed(call.workspace, call.service, now)
+            return False
+        if not is_retryable(answer.verdict, answer.reason):
+            return False
+        if not call.may_be_retried or not allowance.left:
+            return False
+        if not self._budget.take(call.workspace, call.service, now):
+            self._runtime.metrics.incr('entry.retry_budget_exhausted')
+            return False
+        return allowance.take()
+
+    def _choose(self, call: Call, tried: Sequence[str], now: float) -> Choice:
+        return self._chooser.choose(
+            self._directory.serving(call.service),
+            importance=call.importance,
+            bucket=call.bucket,
+            regions=self._config.state.fleet.regions,
+            now=now,
+            rng=self._rng,
+            excluded=tried,
+        )
 
-    async def _attempt(self, call: Call, chosen: DirectoryEntry) -> Answer:
-        timeout_s = call.deadline - self._runtime.clock.monotonic()
-        if timeout_s <= 0:
-            return refuse(Reason.DEADLINE_EXPIRED)
-        message = self._message(call, chosen, timeout_s)
+    def _refuse_choice(self, call: Call, choice: Choice) -> Answer:
+        self._runtime.decisions.record(
+            'request_not_routed',
+            request_id=call.request_id,
+            route=call.named_route.name,
+            reason=choice.reason,
+            candidates=choice.candidates,
+        )
+        return refuse(choice.reason)
+
+    async def _attempt(
+        self,
+        call: Call,
+        choice: Choice,
+        chosen: DirectoryEntry,
+        allowance: int,
+    ) -> Answer:
+        started_at = self._runtime.clock.monotonic()
+        seen = Reason.CANCELLED
+        outcome: Outcome | None = None
         try:
-            if chosen.address == self._runtime.address:
-                outcome = await self._gate.run(message)
-            else:
-                outcome = await self._peers.request(
-                    chosen.address,
-                    message,
-                    Outcome,
-                    timeout_s=timeout_s + _LINK_GRACE_S,
-                )
+            outcome = await self._send(call, chosen, allowance, started_at)
+            seen = outcome.reason
+            answer = _to_answer(outcome, allowance)
         except NotSentError:
-            return refuse(Reason.LINK_NOT_SENT)
+            seen = Reason.LINK_NOT_SENT
+            answer = refuse(seen)
         except LinkTimeoutError:
-            return refuse(Reason.DEADLINE_EXPIRED, Verdict.MAY_HAVE_RUN)
+            # The gate keeps the deadline, so its daemon must be stuck.
+            seen = Reason.LINK_LOST
+            answer = refuse(
+                Reason.DEADLINE_EXPIRED,
+                Verdict.MAY_HAVE_RUN,
+                retries_used=allowance,
+            )
         except LinkLostError:
-            return refuse(Reason.LINK_LOST, Verdict.MAY_HAVE_RUN)
-        self._log_attempt(call, chosen, outcome)
-        return _to_answer(outcome)
+            seen = Reason.LINK_LOST
+            answer = refuse(seen, Verdict.MAY_HAVE_RUN, retries_used=allowance)
+        finally:
+            now = self._runtime.clock.monotonic()
+            self._chooser.finish(
+                chosen.address,
+                reason=seen,
+                now=now,
+                status=outcome.status if outcome else 0,
+                latency_s=now - started_at,
+                load=outcome.load if outcome else None,
+            )
+        self._log_attempt(call, choice, chosen, answer)
+        return answer
+
+    async def _send(
+        self, call: Call, chosen: DirectoryEntry, allowance: int, now: float
+    ) -> Outcome:
+        timeout_s = call.deadline - now
+        message = self._message(call, chosen, timeout_s, allowance)
+        if chosen.address == self._runtime.address:
+            return await self._gate.run(message)
+        return await self._peers.request(
+            chosen.address,
+            message,
+            Outcome,
+            timeout_s=timeout_s + _LINK_GRACE_S,
+        )
 
     def _message(
-        self, call: Call, chosen: DirectoryEntry, timeout_s: float
+        self,
+        call: Call,
+        chosen: DirectoryEntry,
+        timeout_s: float,
+        allowance: int,
     ) -> Dispatch:
         return Dispatch(
             request_id=call.request_id,
@@ -152,27 +264,42 @@
             bucket=call.bucket,
             timeout_ms=max(1, int(timeout_s * 1000)),
             depth=call.depth,
-            retries_left=call.retries_left,
+            retries_left=allowance,
             key_digest=call.key_digest,
             operation_id=call.operation.text if call.operation else '',
         )
 
     def _log_attempt(
-        self, call: Call, chosen: DirectoryEntry, outcome: Outcome
+        self,
+        call: Call,
+        choice: Choice,
+        chosen: DirectoryEntry,
+        answer: Answer,
     ) -> None:
         self._runtime.decisions.record(
             'request_routed',
             request_id=call.request_id,
             route=call.named_route.name,
             target=chosen.target,
-            verdict=outcome.verdict,
-            reason=outcome.reason,
-            in_flight=outcome.load.in_flight,
+            verdict=answer.verdict,
+            reason=answer.reason,
+            candidates=choice.candidates,
+            loads=choice.loads,
+            probe=choice.is_probe,
         )
 
+    def _prune(self) -> None:
+        now = self._runtime.clock.monotonic()
+        self._chooser.prune(now)
+        self._budget.prune(now)
+
 
-def _to_answer(outcome: Outcome) -> Answer:
+def _to_answer(outcome: Outcome, allowance: int) -> Answer:
     refused = outcome.reason is not Reason.SERVED
+    used = outcome.retries_used
+    if outcome.verdict is Verdict.MAY_HAVE_RUN:
+        # What nested calls have spent is not known.
+        used = allowance
     return Answer(
         outcome.verdict,
         outcome.reason,
@@ -180,5 +307,5 @@
         outcome.headers,
         outcome.body,
         outcome.retry_after_ms / 1000 if outcome.retry_after_ms else None,
-        outcome.retries_used,
+        used,
     )
--- a/packages/daemon/src/turmericrouter_daemon/entry.py
+++ b/packages/daemon/src/turmericrouter_daemon/entry.py
@@ -1,71 +1,59 @@
 """The entry: serves callers over HTTP."""
 
 import asyncio
+import dataclasses
 
 from aiohttp import web
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.http import RawRequestMessage
 from aiohttp.streams import StreamReader
-from aiohttp.web_exceptions import HTTPRequestEntityTooLarge
+import msgspec
 
-from turmericrouter_core.config import key_digest
-from turmericrouter_core.config import KeylessRule
-from turmericrouter_core.config import StaleRule
-from turmericrouter_core.identity import hash_bucket
 from turmericrouter_core.identity import new_request_id
 from turmericrouter_core.identity import OperationId
+from turmericrouter_core.retries import CallerBackoff
 from turmericrouter_core.routing import NamedRoute
+from turmericrouter_core.verdict import Importance
 from turmericrouter_core.verdict import Reason
+from turmericrouter_core.verdict import Verdict
+from turmericrouter_daemon.authorisation import Authorisation
+from turmericrouter_daemon.authorisation import Grant
 from turmericrouter_daemon.call import Answer
-from turmericrouter_daemon.call import Call
-from turmericrouter_daemon.call import Headers
 from turmericrouter_daemon.call import refuse
+from turmericrouter_daemon.caller_protocol import CallerServer
+from turmericrouter_daemon.caller_protocol import log_failure
+from turmericrouter_daemon.caller_protocol import read_body
 from turmericrouter_daemon.config_sync import ConfigSync
 from turmericrouter_daemon.dispatch import Dispatcher
 from turmericrouter_daemon.problem import to_response
 from turmericrouter_daemon.runtime import Runtime
-from turmericrouter_daemon.target import HEADER_ENCODING
 from turmericrouter_daemon.tls import TlsContexts
 
-_BEARER = 'bearer '
-_OWN_PREFIX = 'turmeric-'
-_DROPPED_HEADERS = frozenset(
+OPERATIONS_PATH = '/turmeric/operations'
+HEALTH_PATH = '/turmeric/health'
+_OWN_PATHS = '/turmeric/'
+_JSON = (('Content-Type', 'application/json'),)
+# Share of the requests in flight that each importance may fill, so that
+# less important requests are the first to find no room.
+_ROOM_SHARE = {
+    Importance.CRITICAL: 1.0,
+    Importance.HIGH: 0.95,
+    Importance.NORMAL: 0.9,
+    Importance.LOW: 0.8,
+}
+_BACKOFF_STATUSES = frozenset({429, 503})
+# Whatever an id in such a request says, no attempt with it can have run.
+_NEVER_RAN_REASONS = frozenset(
     {
-        'authorization',
-        'connection',
-        'content-length',
-        'expect',
-        'host',
-        'idempotency-key',
-        'keep-alive',
-        'proxy-authorization',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
+        Reason.MALFORMED,
+        Reason.ROUTE_UNKNOWN,
+        Reason.KEY_MISSING,
+        Reason.OPERATION_ID_MISSING,
+        Reason.OPERATION_ID_INVALID,
     }
 )
 
 
-def forwarded_headers(request: web.BaseRequest) -> Headers:
-    """Return the headers that go to the target.
-
-    The caller's key, hop-by-hop headers and the system's own headers stay
-    here.
-    """
-    pairs = (
-        (name.decode(HEADER_ENCODING), value.decode(HEADER_ENCODING))
-        for name, value in request.raw_headers
-    )
-    return tuple(
-        (name, value)
-        for name, value in pairs
-        if (lower := name.lower()) not in _DROPPED_HEADERS
-        and not lower.startswith(_OWN_PREFIX)
-    )
-
-
 class Entry:
     """Listener for callers.
 
@@ -85,10 +73,12 @@
     ) -> None:
         self._runtime = runtime
         self._config = config
+        self._authorisation = Authorisation(runtime, config)
         self._dispatcher = dispatcher
+        self._backoff = CallerBackoff()
         self._tls = tls
         self._server: asyncio.Server | None = None
-        self._web_server: web.Server | None = None
+        self._web_server: CallerServer | None = None
         self._in_flight = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -97,14 +87,13 @@
     async def start(self) -> None:
         """Open the listener."""
         settings = self._runtime.settings
-        self._web_server = web.Server(
+        self._web_server = CallerServer(
             self._handle,
-            access_log=None,
-            handler_cancellation=True,
+            self._runtime.log,
             request_factory=self._make_request,
+            keepalive_timeout=settings.entry.idle_timeout_s,
             max_line_size=settings.entry.max_line_bytes,
             max_field_size=settings.entry.max_field_bytes,
-            auto_decompress=False,
         )
         self._server = await asyncio.get_running_loop().create_server(
             self._web_server,
@@ -153,106 +142,148 @@
         self._idle.clear()
         try:
             answer = await self._answer(request, request_id)
+        except Exception as error:
+            log_failure(self._runtime.log, error, request_id)
+            answer = refuse(Reason.INTERNAL_ERROR, Verdict.MAY_HAVE_RUN)
         finally:
             self._in_flight -= 1
             if not self._in_flight:
                 self._idle.set()
-        response = to_response(answer, request_id)
-        if self._stopping:
-            response.force_close()
         if answer.is_refusal:
             self._log_refusal(request, request_id, answer)
+        response = to_response(answer, request_id)
+        if self._stopping or _must_close(request):
+            response.force_close()
         return response
 
     async def _answer(
         self, request: web.BaseRequest, request_id: str
     ) -> Answer:
-        if self._stopping:
-            return refuse(Reason.DAEMON_STOPPING, retry_after_s=1.0)
-        try:
-            body = await request.read()
-        except HTTPRequestEntityTooLarge:
-            return refuse(Reason.BODY_TOO_LARGE)
-        made = self._authorise(request, request_id, body)
-        if isinstance(made, Answer):
-            return made
-        return await self._dispatcher.serve(made)
-
-    def _authorise(
-        self, request: web.BaseRequest, request_id: str, body: bytes
-    ) -> Call | Answer:
-        named = self._config.routes.find(request.method, request.raw_path)
-        if named is None:
-            return refuse(Reason.ROUTE_UNKNOWN)
-        route = named.route
-        if self._config.is_stale and route.stale_rule is StaleRule.REFUSE:
-            return refuse(Reason.CONFIG_STALE, retry_after_s=1.0)
-        digest, workspace = '', ''
-        if not route.open_to_all:
-            checked = self._check_key(request)
-            if isinstance(checked, Answer):
-                return checked
-            digest, workspace = checked
-        operation = self._operation(request, named)
-        if isinstance(operation, Answer):
-            return operation
-        return Call(
+        if request.raw_path.startswith(_OWN_PATHS):
+            return self._answer_own(request)
+        named = self._authorisation.find_route(request)
+        if isinstance(named, Answer):
+            return named
+        grant = self._check(request, named)
+        if isinstance(grant, Answer):
+            return self._refuse_early(request, named, grant)
+        arrived_at = self._runtime.clock.monotonic()
+        body = await self._read(request, grant)
+        if isinstance(body, Answer):
+            return self._refuse_early(request, named, body)
+        call = self._authorisation.make_call(
+            request,
+            named,
+            grant,
             request_id=request_id,
-            method=request.method,
-            path=request.raw_path,
-            headers=forwarded_headers(request),
+            arrived_at=arrived_at,
             body=body,
-            named_route=named,
-            workspace=workspace,
-            key_digest=digest,
-            importance=route.importance,
-            bucket=hash_bucket(request_id),
-            deadline=self._deadline(request, named),
-            retries_left=self._runtime.settings.overload.max_retries,
-            operation=operation,
         )
+        answer = await self._dispatcher.serve(call)
+        caller = grant.key_digest or request.remote
+        if not answer.is_refusal:
+            self._backoff.serve(caller)
+            return answer
+        return self._with_backoff(answer, caller)
 
-    def _check_key(self, request: web.BaseRequest) -> tuple[str, str] | Answer:
-        header = request.headers.get('Authorization', '')
-        if not header.lower().startswith(_BEARER):
-            return refuse(Reason.KEY_MISSING)
-        digest = key_digest(header[len(_BEARER) :].strip())
-        key = self._config.state.key(digest)
-        if key is None:
-            return refuse(Reason.KEY_UNKNOWN)
-        if key.withdrawn:
-            return refuse(Reason.KEY_WITHDRAWN)
-        if self._config.state.workspace(key.workspace) is None:
-            return refuse(Reason.WORKSPACE_UNKNOWN)
-        return digest, key.workspace
-
-    def _operation(
+    def _check(
         self, request: web.BaseRequest, named: NamedRoute
-    ) -> OperationId | None | Answer:
-        if named.route.idempotent:
-            return None
-        text = request.headers.get('Idempotency-Key', '').strip('" ')
-        if not text:
-            if named.route.without_key is KeylessRule.RUN_ONCE:
-                return None
-            return refuse(Reason.OPERATION_ID_MISSING)
+    ) -> Grant | Answer:
+        if self._stopping:
+            return refuse(Reason.DAEMON_STOPPING)
+        grant = self._authorisation.check(request, named)
+        if isinstance(grant, Answer):
+            return grant
+        limit = self._runtime.settings.entry.max_in_flight
+        if self._in_flight > limit * _ROOM_SHARE[named.route.importance]:
+            return refuse(Reason.NO_ROOM)
+        return grant
+
+    async def _read(
+        self, request: web.BaseRequest, grant: Grant
+    ) -> bytes | Answer:
+        limits = self._runtime.settings.entry
+        if request.content.is_eof():
+            return await read_body(request, limits.max_body_bytes)
         try:
-            return OperationId.parse(text)
-        except ValueError:
+            async with asyncio.timeout(limits.read_timeout_s):
+                body = await read_body(request, limits.max_body_bytes)
+        except TimeoutError:
+            return refuse(Reason.BODY_TRUNCATED, detail='body is too slow')
+        # The key may have been withdrawn while the body came in.
+        reason = None
+        if grant.key_digest:
+            reason = self._authorisation.refused_key(grant.key_digest)
+        return body if reason is None else refuse(reason)
+
+    def _refuse_early(
+        self, request: web.BaseRequest, named: NamedRoute, answer: Answer
+    ) -> Answer:
+        """Complete a refusal that was made before any home was asked.
+
+        Only its home knows whether an operation has run before, so the
+        refusal of a resent operation must not say that it has not.
+        """
+        if (
+            not named.route.idempotent
+            and answer.reason not in _NEVER_RAN_REASONS
+            and 'Idempotency-Key' in request.headers
+        ):
+            answer = dataclasses.replace(answer, verdict=Verdict.MAY_HAVE_RUN)
+        return self._with_backoff(answer, request.remote)
+
+    def _with_backoff(self, answer: Answer, caller: str | None) -> Answer:
+        if answer.status not in _BACKOFF_STATUSES:
+            return answer
+        wait_s = self._backoff.refuse(
+            caller,
+            self._runtime.clock.monotonic(),
+            self._runtime.rng.random(),
+            at_least_s=answer.retry_after_s or 0.0,
+        )
+        return dataclasses.replace(answer, retry_after_s=wait_s)
+
+    def _answer_own(self, request: web.BaseRequest) -> Answer:
+        path, method = request.raw_path, request.method
+        if path == HEALTH_PATH and method == 'GET':
+            return self._health()
+        if path == OPERATIONS_PATH and method == 'POST':
+            return self._mint_operation()
+        return refuse(Reason.ROUTE_UNKNOWN)
+
+    def _health(self) -> Answer:
+        status = {
+            'status': 'stopping' if self._stopping else 'serving',
+            'config_offset': self._config.state.offset,
+            'config_stale': self._config.is_stale,
+            'in_flight': self._in_flight - 1,
+        }
+        return Answer(
+            Verdict.RAN,
+            Reason.SERVED,
+            503 if self._stopping else 200,
+            _JSON,
+            msgspec.json.encode(status),
+        )
+
+    def _mint_operation(self) -> Answer:
+        if self._stopping:
+            return refuse(Reason.DAEMON_STOPPING, retry_after_s=1.0)
+        domains = self._config.state.fleet.domains
+        domain = self._runtime.settings.host.domain
+        if domain not in domains:
             return refuse(
-                Reason.OPERATION_ID_INVALID,
-                detail='Idempotency-Key must be a UUIDv7',
+                Reason.CONFIG_STALE,
+                retry_after_s=1.0,
+                detail='the fleet record does not name this failure domain',
             )
-
-    def _deadline(self, request: web.BaseRequest, named: NamedRoute) -> float:
-        limit_ms = min(
-            named.route.timeout_ms,
-            self._runtime.settings.entry.max_timeout_ms,
+        operation = OperationId.mint(
+            self._runtime.clock.wall(),
+            domains.index(domain),
+            self._runtime.rng,
         )
-        asked = request.headers.get('Turmeric-Timeout-Ms', '')
-        if asked.isdecimal():
-            limit_ms = min(limit_ms, int(asked))
-        return self._runtime.clock.monotonic() + limit_ms / 1000
+        body = msgspec.json.encode({'operation_id': operation.text})
+        return Answer(Verdict.RAN, Reason.SERVED, 201, _JSON, body)
 
     def _log_refusal(
         self, request: web.BaseRequest, request_id: str, answer: Answer
@@ -266,3 +297,11 @@
             verdict=answer.verdict,
             reason=answer.reason,
         )
+
+
+def _must_close(request: web.BaseRequest) -> bool:
+    """Return whether what follows on the connection cannot be trusted."""
+    content = request.content
+    if not content.is_eof() or content.exception() is not None:
+        return True
+    return 'Upgrade' in request.headers
--- a/packages/daemon/src/turmericrouter_daemon/local.py
+++ b/packages/daemon/src/turmericrouter_daemon/local.py
@@ -1,20 +1,32 @@
 """Loopback listener for the local target: announcements, nested calls."""
 
 import asyncio
+import dataclasses
 
 from aiohttp import web
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.http import RawRequestMessage
+from aiohttp.streams import StreamReader
 import msgspec
 
+from turmericrouter_core.context import call_digest
 from turmericrouter_core.context import RequestContext
 from turmericrouter_core.directory import MemberState
+from turmericrouter_core.identity import HostAddress
 from turmericrouter_core.verdict import Reason
+from turmericrouter_core.verdict import Verdict
+from turmericrouter_daemon.authorisation import Authorisation
+from turmericrouter_daemon.authorisation import find_operation
+from turmericrouter_daemon.authorisation import forwarded_headers
 from turmericrouter_daemon.call import Answer
 from turmericrouter_daemon.call import Call
 from turmericrouter_daemon.call import refuse
+from turmericrouter_daemon.caller_protocol import CallerServer
+from turmericrouter_daemon.caller_protocol import log_failure
+from turmericrouter_daemon.caller_protocol import read_body
 from turmericrouter_daemon.config_sync import ConfigSync
 from turmericrouter_daemon.directory_sync import DirectorySync
 from turmericrouter_daemon.dispatch import Dispatcher
-from turmericrouter_daemon.entry import forwarded_headers
 from turmericrouter_daemon.gate import CONTEXT_HEADER
 from turmericrouter_daemon.gate import Gate
 from turmericrouter_daemon.problem import to_response
@@ -65,18 +77,24 @@
         dispatcher: Dispatcher,
     ) -> None:
         self._runtime = runtime
-        self._config = config
+        self._authorisation = Authorisation(runtime, config)
         self._gate = gate
         self._directory = directory
         self._dispatcher = dispatcher
+        self._max_body_bytes = runtime.settings.entry.max_body_bytes
         self._server: asyncio.Server | None = None
-        self._web_server: web.Server | None = None
+        self._web_server: CallerServer | None = None
+        # Nested calls in flight by the context that they belong to.
+        self._children: dict[str, set[asyncio.Task[Answer]]] = {}
+        gate.contexts.on_close(self._cancel_children)
         self._announced: TargetAnnouncement | None = None
 
     async def start(self) -> None:
         """Open the listener."""
-        self._web_server = web.Server(
-            self._handle, access_log=None, handler_cancellation=True
+        self._web_server = CallerServer(
+            self._handle,
+            self._runtime.log,
+            request_factory=self._make_request,
         )
         host = self._runtime.settings.host
         self._server = await asyncio.get_running_loop().create_server(
@@ -93,6 +111,24 @@
         if self._web_server is not None:
             await self._web_server.shutdown(1.0)
 
+    def _make_request(
+        self,
+        message: RawRequestMessage,
+        payload: StreamReader,
+        protocol: web.RequestHandler,
+        writer: AbstractStreamWriter,
+        task: 'asyncio.Task[None]',
+    ) -> web.BaseRequest:
+        return web.BaseRequest(
+            message,
+            payload,
+            protocol,
+            writer,
+            task,
+            asyncio.get_running_loop(),
+            client_max_size=self._max_body_bytes,
+        )
+
     async def _handle(self, request: web.BaseRequest) -> web.Response:
         if request.path == ANNOUNCEMENT_PATH and request.method == 'PUT':
             return await self._announce(request)
@@ -101,19 +137,26 @@
         )
         if context is None:
             return to_response(refuse(Reason.CONTEXT_UNKNOWN), '')
-        answer = await self._nested(request, context)
+        try:
+            answer = await self._nested(request, context)
+        except Exception as error:
+            log_failure(self._runtime.log, error, context.request_id)
+            answer = refuse(Reason.INTERNAL_ERROR, Verdict.MAY_HAVE_RUN)
+        if answer.is_refusal:
+            self._log_refusal(request, context, answer)
         return to_response(answer, context.request_id)
 
     async def _announce(self, request: web.BaseRequest) -> web.Response:
+        body = await read_body(request, self._max_body_bytes)
+        if isinstance(body, Answer):
+            return to_response(body, '')
         try:
-            announcement = msgspec.json.decode(
-                await request.read(), type=TargetAnnouncement
-            )
-        except msgspec.MsgspecError as error:
+            announcement = msgspec.json.decode(body, type=TargetAnnouncement)
+            address = HostAddress.parse(announcement.address)
+        except (msgspec.MsgspecError, ValueError) as error:
             return to_response(refuse(Reason.MALFORMED, detail=str(error)), '')
         if announcement.name != (self._announced and self._announced.name):
-            ip, _, port = announcement.address.rpartition(':')
-            self._gate.set_target(announcement.name, ip, int(port))
+            self._gate.set_target(announcement.name, address.ip, address.port)
         self._announced = announcement
         leaving = announcement.leaving
         await self._directory.update(
@@ -128,12 +171,18 @@
     async def _nested(
         self, request: web.BaseRequest, context: RequestContext
     ) -> Answer:
-        named = self._config.routes.find(request.method, request.raw_path)
-        if named is None:
-            return refuse(Reason.ROUTE_UNKNOWN)
-        if context.depth + 1 > self._runtime.settings.overload.max_depth:
-            return refuse(Reason.DEPTH_EXCEEDED)
-        body = await request.read()
+        named = self._authorisation.find_route(request)
+        if isinstance(named, Answer):
+            return named
+        refused = self._check(context)
+        if refused is not None:
+            return refused
+        operation = find_operation(request, named)
+        if isinstance(operation, Answer):
+            return operation
+        body = await read_body(request, self._max_body_bytes)
+        if isinstance(body, Answer):
+            return body
         call = Call(
             request_id=context.request_id,
             method=request.method,
@@ -147,7 +196,74 @@
             bucket=context.bucket,
             deadline=context.deadline,
             depth=context.depth + 1,
-            retries_left=context.retries_left,
+            operation=operation,
             parent=context,
         )
-        return await self._dispatcher.serve(call)
+        return await self._serve(call, context)
+
+    def _check(self, context: RequestContext) -> Answer | None:
+        if context.depth + 1 > self._runtime.settings.overload.max_depth:
+            return refuse(Reason.DEPTH_EXCEEDED)
+        if not context.key_digest:
+            return None
+        reason = self._authorisation.refused_key(context.key_digest)
+        return refuse(reason) if reason is not None else None
+
+    async def _serve(self, call: Call, context: RequestContext) -> Answer:
+        start = context.start_nested(
+            call_digest(call.method, call.path, call.body),
+            may_run_again=call.named_route.route.idempotent
+            or call.operation is not None,
+        )
+        if start.reason is not Reason.SERVED:
+            return refuse(start.reason, start.verdict)
+        call = dataclasses.replace(call, retries_left=start.allowance)
+        verdict, used = Verdict.MAY_HAVE_RUN, start.allowance
+        try:
+            answer = await self._run_child(call, context.context_id)
+            verdict, used = answer.verdict, answer.retries_used
+        finally:
+            context.finish_nested(start, verdict, used)
+        return answer
+
+    async def _run_child(self, call: Call, context_id: str) -> Answer:
+        """Serve a nested call in a task that ends with its parent."""
+        if self._gate.contexts.find(context_id) is None:
+            return refuse(Reason.CONTEXT_UNKNOWN)
+        task = asyncio.get_running_loop().create_task(
+            self._dispatcher.serve(call)
+        )
+        children = self._children.setdefault(context_id, set())
+        children.add(task)
+        try:
+            return await task
+        except asyncio.CancelledError:
+            if context_id in self._children:
+                # The target has hung up; its request goes on.
+                raise
+            return refuse(
+                Reason.CANCELLED,
+                Verdict.MAY_HAVE_RUN,
+                retries_used=call.retries_left,
+            )
+        finally:
+            children.discard(task)
+            if not children:
+                self._children.pop(context_id, None)
+
+    def _cancel_children(self, context: RequestContext) -> None:
+        for task in self._children.pop(context.context_id, ()):
+            task.cancel()
+
+    def _log_refusal(
+        self, request: web.BaseRequest, context: RequestContext, answer: Answer
+    ) -> None:
+        self._runtime.metrics.incr(f'nested.refused.{answer.reason}')
+        self._runtime.decisions.record(
+            'nested_refused',
+            request_id=context.request_id,
+            method=request.method,
+            path=request.path,
+            verdict=answer.verdict,
+            reason=answer.reason,
+        )
--- a/packages/daemon/src/turmericrouter_daemon/problem.py
+++ b/packages/daemon/src/turmericrouter_daemon/problem.py
@@ -1,5 +1,6 @@
 """Headers and problem bodies (RFC 9457) of answers to callers."""
 
+import http
 import math
 from typing import Any
 
@@ -32,6 +33,24 @@
     return msgspec.json.encode(problem)
 
 
+def raw_response(answer: Answer, request_id: str) -> bytes:
+    """Return a refusal as bytes, for a request that has no whole head.
+
+    The connection must be closed after it.
+    """
+    body = _problem_body(answer, request_id)
+    lines = (
+        f'HTTP/1.1 {answer.status} {http.HTTPStatus(answer.status).phrase}',
+        f'Content-Type: {_PROBLEM_TYPE}',
+        f'Content-Length: {len(body)}',
+        f'{REASON_HEADER}: {answer.reason}',
+        f'{VERDICT_HEADER}: {answer.verdict}',
+        f'{REQUEST_ID_HEADER}: {request_id}',
+        'Connection: close',
+    )
+    return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
+
+
 def to_response(answer: Answer, request_id: str) -> web.Response:
     """Return the HTTP response of an answer."""
     if answer.is_refusal:
--- a/packages/daemon/src/turmericrouter_daemon/settings.py
+++ b/packages/daemon/src/turmericrouter_daemon/settings.py
@@ -78,6 +78,10 @@
         max_field_bytes: Longest header field.
         read_timeout_s: Seconds for a caller to send a whole body.
         max_timeout_ms: Upper bound of `Turmeric-Timeout-Ms`.
+        max_in_flight: Requests in flight at this entry; the last fifth is
+            kept for the more important ones.
+        idle_timeout_s: Seconds that a connection may wait for a whole
+            request head.
     """
 
     max_body_bytes: Count = 1_048_576
@@ -85,6 +89,8 @@
     max_field_bytes: Count = 8190
     read_timeout_s: Positive = 10.0
     max_timeout_ms: Count = 60_000
+    max_in_flight: Count = 1024
+    idle_timeout_s: Positive = 75.0
 
 
 class TargetSettings(_Section, frozen=True):
