Spread crash marks between daemons

Cause: a request that crashed one target was sent to the next one.

Ruled out: a mark per attempt at the entry, which sees a lost link and a crashed target alike.

Conclusion: the gate tells of crashes through a Protocol; its crash ids only have to differ between crashes.

--- a/packages/daemon/src/turmericrouter_daemon/application.py
+++ b/packages/daemon/src/turmericrouter_daemon/application.py
@@ -84,12 +84,12 @@
         self._directory = DirectorySync(
             runtime, self._config, self._log_client
         )
-        self._gate = Gate(runtime, self._config)
         self._peers = PeerPool(runtime, router, self._tls)
-        self._peer_server = PeerServer(runtime, router, self._tls)
         self._quarantine = QuarantineService(
             runtime, self._directory.directory, self._peers
         )
+        self._gate = Gate(runtime, self._config, self._quarantine)
+        self._peer_server = PeerServer(runtime, router, self._tls)
         self._dispatcher = dispatcher = Dispatcher(
             runtime,
             self._config,
--- a/packages/daemon/src/turmericrouter_daemon/gate.py
+++ b/packages/daemon/src/turmericrouter_daemon/gate.py
@@ -1,7 +1,9 @@
 """The gate: the only way to the local target."""
 
 import asyncio
+from collections.abc import Sequence
 import secrets
+from typing import Protocol
 
 from turmericrouter_core.context import ContextTable
 from turmericrouter_core.context import RequestContext
@@ -29,17 +31,35 @@
 OPERATION_HEADER = 'Idempotency-Key'
 
 
+class CrashReporter(Protocol):
+    """Is told of crashes of the target and of successes."""
+
+    def crashed(self, messages: Sequence[Dispatch], crash_id: str) -> None:
+        """Record requests whose connection broke."""
+
+    def succeeded(self, message: Dispatch) -> None:
+        """Record a request that got a whole answer."""
+
+
 class Gate:
     """Admits requests to the local target.
 
     Args:
         runtime: Services of the process.
         config: Configuration in force.
+        crashes: Is told of crashes and successes.
     """
 
-    def __init__(self, runtime: Runtime, config: ConfigSync) -> None:
+    def __init__(
+        self,
+        runtime: Runtime,
+        config: ConfigSync,
+        crashes: CrashReporter | None = None,
+    ) -> None:
         self._runtime = runtime
         self._config = config
+        self._crashes = crashes
+        self._crash_count = 0
         self._contexts = ContextTable()
         self._pool: TargetPool | None = None
         self._in_flight = 0
@@ -104,6 +124,7 @@
         except TargetUnreachableError:
             return self._refuse(Reason.TARGET_UNREACHABLE)
         except TargetBrokenError:
+            self._report_crash(message)
             return self._refuse(Reason.TARGET_CRASHED, Verdict.MAY_HAVE_RUN)
         except AnswerTooLargeError:
             return self._refuse(
@@ -114,9 +135,19 @@
             if not self._in_flight:
                 self._idle.set()
             self._contexts.close(context.context_id)
+        if self._crashes is not None:
+            self._crashes.succeeded(message)
         service_ms = (clock.monotonic() - started_at) * 1000
         return self._served(answer, context, service_ms)
 
+    def _report_crash(self, message: Dispatch) -> None:
+        if self._crashes is None:
+            return
+        self._crash_count += 1
+        runtime = self._runtime
+        epoch = f'{runtime.incarnation}.{self._crash_count}'
+        self._crashes.crashed((message,), f'{runtime.address}/{epoch}')
+
     def _open_context(self, message: Dispatch) -> RequestContext:
         now = self._runtime.clock.monotonic()
         context = RequestContext(
--- a/packages/daemon/src/turmericrouter_daemon/quarantine_service.py
+++ b/packages/daemon/src/turmericrouter_daemon/quarantine_service.py
@@ -107,6 +107,13 @@
     def handle(self, message: CrashMarks, sender: Hello) -> None:
         """Take in the marks of another daemon and send new ones on."""
         new = self._quarantine.merge(message.marks, self._now())
+        if new:
+            self._runtime.log.info(
+                'crash_marks_learned',
+                sender=sender.address,
+                marks=len(new),
+                crashes=','.join(sorted({mark.crash_id for mark in new})),
+            )
         self._push(new, skip=sender.address)
 
     def _digest(self, message: Dispatch) -> bytes:
--- /dev/null
+++ b/tests/system/test_quarantine.py
@@ -0,0 +1,58 @@
+"""A request that crashes each target it reaches."""
+
+import asyncio
+import pathlib
+
+from turmericrouter_core.config import Fleet as FleetRecord
+from turmericrouter_core.config import Key
+from turmericrouter_core.config import Route
+from turmericrouter_core.config import Value
+from turmericrouter_core.config import Workspace
+from turmericrouter_standins.fleet import digest_scope
+from turmericrouter_standins.fleet import Fleet
+from turmericrouter_standins.fleet import Host
+from turmericrouter_standins.fleet import ServiceSpec
+
+KEY = 'key-of-the-guild-hall'
+VALUES: dict[str, Value | None] = {
+    'fleet': FleetRecord(domains=('north',)),
+    'workspace/east': Workspace(rate_per_s=1000, burst=1000),
+    digest_scope(KEY): Key('east'),
+    'route/works': Route('works', '/works'),
+}
+CRASH = '/works/1?crash=1'
+
+
+async def _wait_learned(entry: Host, crashes: int) -> None:
+    async with asyncio.timeout(30):
+        while (
+            entry.daemon.output.read_text().count('crash_marks_learned')
+            < crashes
+        ):
+            await asyncio.sleep(0.05)
+
+
+async def _check(directory: pathlib.Path) -> None:
+    services = [ServiceSpec('works', per_domain=3), ServiceSpec('spare')]
+    async with Fleet(directory, ['north'], services) as fleet:
+        await fleet.publish(VALUES)
+        await fleet.wait_served('/works/1', key=KEY)
+        entry = fleet.host('spare-north-0')
+        for crash in (1, 2):
+            reply = await fleet.call(entry, CRASH, key=KEY)
+            assert (reply.status, reply.verdict) == (502, 'may-have-run')
+            await _wait_learned(entry, crash)
+        # Guards against a caller that takes down one target after another.
+        for _ in range(3):
+            reply = await fleet.call(entry, CRASH, key=KEY)
+            assert (reply.status, reply.verdict) == (503, 'not-run')
+            assert reply.reason == 'quarantined'
+        targets = [host for host in fleet.hosts if host.service == 'works']
+        assert sum(host.target.is_running for host in targets) == 1
+        # The same route with another query is served.
+        reply = await fleet.call(entry, '/works/1', key=KEY)
+        assert (reply.status, reply.verdict) == (200, 'ran')
+
+
+def test_request_is_blocked_after_two_crashes(tmp_path: pathlib.Path) -> None:
+    asyncio.run(_check(tmp_path))
