--- a/packages/core/src/turmericrouter_core/balancing.py
+++ b/packages/core/src/turmericrouter_core/balancing.py
@@ -140,6 +140,12 @@
         load = max(self.in_flight, self.load) if fresh else self.in_flight
         return load < self.slots(entry)
 
+    def passes(self, importance: Importance, bucket: int, now: float) -> bool:
+        """Return whether the gate would let a request in, or may now."""
+        return now - self.level_at >= LEVEL_LIFETIME_S or passes(
+            self.level, importance, bucket
+        )
+
     def overflows(self, entry: DirectoryEntry) -> bool:
         return self.in_flight >= OVERFLOW_FACTOR * self.slots(entry)
 
@@ -152,6 +158,9 @@
         self.latency_s += weight * (sample_s - self.latency_s)
 
 
+_Offered = tuple[DirectoryEntry, _Statistics | None]
+
+
 class TargetChooser:
     """Chooses targets and learns from their answers.
 
@@ -195,22 +204,34 @@
             rng: Source of the random choices.
             excluded: Addresses that were tried already.
         """
-        usable = [item for item in entries if item.address not in excluded]
-        if not usable:
+        known = self._statistics
+        offered = [
+            (entry, known.get(entry.address))
+            for entry in entries
+            if entry.address not in excluded
+        ]
+        if not offered:
             return Choice(Reason.NO_TARGET)
-        healthy = [item for item in usable if not self._is_ejected(item, now)]
         # With every target ejected, trying one beats refusing for sure.
-        pool = healthy or usable
-        tiers = self._tiers(pool, regions)
-        passing = [
-            self._passing(tier, importance, bucket, now) for tier in tiers
-        ]
-        if not any(passing):
+        pool = [
+            pair
+            for pair in offered
+            if pair[1] is None or now >= pair[1].ejected_until
+        ] or offered
+        passing = pool
+        if self._shedding:
+            passing = [
+                pair
+                for pair in pool
+                if pair[1] is None or pair[1].passes(importance, bucket, now)
+            ]
+        if not passing:
             return Choice(Reason.SHED_AT_ENTRY, candidates=len(pool))
-        chosen = self._pick(passing, now, rng)
-        if chosen is None:
+        usable = _with_room(passing, now)
+        if not usable:
             return Choice(Reason.NO_ROOM, candidates=len(pool))
-        entry, compared = chosen
+        nearest = self._nearest(usable, regions)
+        entry, compared = _better_of_two(nearest, rng)
         return self._start(entry, compared, len(pool), now)
 
     def finish(
@@ -296,96 +317,59 @@
         known.failures = min(known.failures + 1, 16)
         known.ejected_until = now + length_s
 
-    def _is_ejected(self, entry: DirectoryEntry, now: float) -> bool:
-        known = self._statistics.get(entry.address)
-        return known is not None and now < known.ejected_until
-
-    def _tiers(
-        self, entries: Sequence[DirectoryEntry], regions: Mapping[str, str]
-    ) -> list[list[DirectoryEntry]]:
-        own: list[DirectoryEntry] = []
-        near: list[DirectoryEntry] = []
-        far: list[DirectoryEntry] = []
+    def _nearest(
+        self, offered: list[_Offered], regions: Mapping[str, str]
+    ) -> list[_Offered]:
+        own = [pair for pair in offered if pair[0].domain == self._domain]
+        if own:
+            return own
         region = regions.get(self._domain)
-        for entry in entries:
-            if entry.domain == self._domain:
-                own.append(entry)
-            elif region is not None and regions.get(entry.domain) == region:
-                near.append(entry)
-            else:
-                far.append(entry)
-        return [own, near, far]
-
-    def _passing(
-        self,
-        tier: list[DirectoryEntry],
-        importance: Importance,
-        bucket: int,
-        now: float,
-    ) -> list[DirectoryEntry]:
-        if not self._shedding:
-            return tier
-        return [
-            entry
-            for entry in tier
-            if (known := self._statistics.get(entry.address)) is None
-            or now - known.level_at >= LEVEL_LIFETIME_S
-            or passes(known.level, importance, bucket)
+        if region is None:
+            return offered
+        near = [
+            pair for pair in offered if regions.get(pair[0].domain) == region
         ]
+        return near or offered
+
+
+def _with_room(offered: list[_Offered], now: float) -> list[_Offered]:
+    """Return the targets with room, else those with a queue to wait in."""
+    return [
+        (entry, known)
+        for entry, known in offered
+        if known is None or known.has_room(entry, now)
+    ] or [
+        (entry, known)
+        for entry, known in offered
+        if known is None or not known.overflows(entry)
+    ]
+
+
+def _better_of_two(
+    offered: list[_Offered], rng: random.Random
+) -> tuple[DirectoryEntry, tuple[Candidate, ...]]:
+    count = len(offered)
+    if count == 1:
+        return offered[0][0], (_candidate(offered[0], 0.0),)
+    first = int(rng.random() * count)
+    second = int(rng.random() * (count - 1))
+    second += second >= first
+    pair = (offered[first], offered[second])
+    latencies = [known.latency_s if known else 0.0 for _, known in pair]
+    # A target without an answer yet is compared as if it were as fast as
+    # the other one, so that it is neither flooded nor avoided.
+    known_s = max(latencies) or 1.0
+    seen = (
+        _candidate(pair[0], latencies[0] or known_s),
+        _candidate(pair[1], latencies[1] or known_s),
+    )
+    return pair[seen[1].cost < seen[0].cost][0], seen
 
-    def _pick(
-        self,
-        tiers: Sequence[list[DirectoryEntry]],
-        now: float,
-        rng: random.Random,
-    ) -> tuple[DirectoryEntry, tuple[Candidate, ...]] | None:
-        """Return the nearest target with room, else a queue to wait in."""
-        for tier in tiers:
-            with_room = [item for item in tier if self._has_room(item, now)]
-            if with_room:
-                return self._better_of_two(with_room, rng)
-        for tier in tiers:
-            waiting = [item for item in tier if not self._overflows(item)]
-            if waiting:
-                return self._better_of_two(waiting, rng)
-        return None
-
-    def _has_room(self, entry: DirectoryEntry, now: float) -> bool:
-        known = self._statistics.get(entry.address)
-        return known is None or known.has_room(entry, now)
-
-    def _overflows(self, entry: DirectoryEntry) -> bool:
-        known = self._statistics.get(entry.address)
-        return known is not None and known.overflows(entry)
-
-    def _better_of_two(
-        self, entries: Sequence[DirectoryEntry], rng: random.Random
-    ) -> tuple[DirectoryEntry, tuple[Candidate, ...]]:
-        if len(entries) == 1:
-            return entries[0], (self._candidate(entries[0], 0.0),)
-        count = len(entries)
-        first = int(rng.random() * count)
-        second = int(rng.random() * (count - 1))
-        second += second >= first
-        pair = (entries[first], entries[second])
-        latencies = [self._latency_s(entry) for entry in pair]
-        # A target without an answer yet is compared as if it were as fast
-        # as the other one, so that it is neither flooded nor avoided.
-        known_s = max(latencies) or 1.0
-        seen = tuple(
-            self._candidate(entry, latency_s or known_s)
-            for entry, latency_s in zip(pair, latencies, strict=True)
-        )
-        return pair[seen[1].cost < seen[0].cost], seen
-
-    def _latency_s(self, entry: DirectoryEntry) -> float:
-        known = self._statistics.get(entry.address)
-        return known.latency_s if known else 0.0
 
-    def _candidate(self, entry: DirectoryEntry, latency_s: float) -> Candidate:
-        known = self._statistics.get(entry.address)
-        if known is None:
-            slots = entry.slots or DEFAULT_SLOTS
-            return Candidate(entry.target, 0, latency_s / slots)
-        cost = (known.in_flight + 1) * latency_s / known.slots(entry)
-        return Candidate(entry.target, known.in_flight, cost)
+def _candidate(offered: _Offered, latency_s: float) -> Candidate:
+    entry, known = offered
+    if known is None:
+        slots = entry.slots or DEFAULT_SLOTS
+        return Candidate(entry.target, 0, latency_s / slots)
+    cost = (known.in_flight + 1) * latency_s / known.slots(entry)
+    return Candidate(entry.target, known.in_flight, cost)
--- a/packages/daemon/src/turmericrouter_daemon/dispatch.py
+++ b/packages/daemon/src/turmericrouter_daemon/dispatch.py
@@ -1,6 +1,8 @@
 """Takes one request from admission to its answer."""
 
+import asyncio
 from collections.abc import Sequence
+import functools
 import random
 from typing import Protocol
 
@@ -31,6 +33,7 @@
 # A gate keeps the deadline itself; this much later it counts as lost.
 _LINK_GRACE_S = 0.25
 _PRUNE_PERIOD_S = 60.0
+_PROBE = {'probe': True}
 
 
 class Quota(Protocol):
@@ -276,16 +279,21 @@
         chosen: DirectoryEntry,
         answer: Answer,
     ) -> None:
-        self._runtime.decisions.record(
-            'request_routed',
-            request_id=call.request_id,
-            route=call.named_route.name,
-            target=chosen.target,
-            verdict=answer.verdict,
-            reason=answer.reason,
-            candidates=choice.candidates,
-            loads=choice.loads,
-            probe=choice.is_probe,
+        # Written after the answer is on its way to the caller: rendering
+        # the line takes about as long as all other work of the dispatcher.
+        asyncio.get_running_loop().call_soon(
+            functools.partial(
+                self._runtime.decisions.record,
+                'request_routed',
+                request_id=call.request_id,
+                route=call.named_route.name,
+                target=chosen.target,
+                verdict=answer.verdict,
+                reason=answer.reason,
+                candidates=choice.candidates,
+                loads=choice.loads,
+                **_PROBE if choice.is_probe else {},
+            )
         )
 
     def _prune(self) -> None:
