--- /dev/null
+++ b/packages/core/src/turmericrouter_core/balancing.py
@@ -0,0 +1,375 @@
+"""Choice of the target that gets a request."""
+
+from collections.abc import Collection
+from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
+import random
+
+from turmericrouter_core.messages import DirectoryEntry
+from turmericrouter_core.messages import GateLoad
+from turmericrouter_core.messages import Level
+from turmericrouter_core.shedding import passes
+from turmericrouter_core.verdict import Importance
+from turmericrouter_core.verdict import Reason
+
+# A level older than this is tried again by one request.
+LEVEL_LIFETIME_S = 1.0
+# A gate that refused for lack of room gets other requests after this.
+FULL_BACKOFF_S = 0.05
+FIRST_EJECTION_S = 0.25
+LONGEST_EJECTION_S = 4.0
+_MAX_FAILURES = 8
+# Weight of a new latency sample; a rise counts at once, since a slow
+# target must lose its share before its queue builds up.
+LATENCY_FALL_WEIGHT = 0.2
+LATENCY_RISE_WEIGHT = 0.5
+DEFAULT_SLOTS = 16
+# Own requests at one target, as a multiple of its slots, beyond which the
+# gate's queue is certainly full.
+OVERFLOW_FACTOR = 4
+IDLE_FORGET_S = 300.0
+
+_FULL_REASONS = frozenset(
+    {
+        Reason.SHED_AT_GATE,
+        Reason.QUEUE_FULL,
+        Reason.EVICTED,
+        Reason.TARGET_SHED,
+        Reason.DEADLINE_TOO_SHORT,
+    }
+)
+_FAILED_REASONS = frozenset(
+    {
+        Reason.TARGET_LEAVING,
+        Reason.TARGET_RETIRED,
+        Reason.TARGET_UNREACHABLE,
+        Reason.TARGET_CRASHED,
+        Reason.LINK_NOT_SENT,
+        Reason.LINK_LOST,
+        Reason.DAEMON_STOPPING,
+        Reason.INTERNAL_ERROR,
+    }
+)
+_SERVER_ERROR_STATUS = 500
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """A target that was compared.
+
+    Args:
+        target: Name of the target.
+        in_flight: Own requests at the target.
+        cost: (in flight + 1) * latency / slots.
+    """
+
+    target: str
+    in_flight: int
+    cost: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Loads:
+    """Targets that were compared; formatted only when it is printed."""
+
+    compared: tuple[Candidate, ...] = ()
+
+    def __str__(self) -> str:
+        return ','.join(
+            f'{seen.target}:{seen.in_flight}:{seen.cost:.5f}'
+            for seen in self.compared
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice:
+    """Result of a choice.
+
+    Args:
+        reason: `served` if a target was chosen, else why none was.
+        entry: The chosen target.
+        candidates: Targets of the service that could be chosen from.
+        loads: Targets that were compared, with the loads seen.
+        is_probe: Whether the request tests an ejected target.
+    """
+
+    reason: Reason
+    entry: DirectoryEntry | None = None
+    candidates: int = 0
+    loads: Loads = Loads()
+    is_probe: bool = False
+
+
+class _Statistics:
+    """What this entry has learned of one target."""
+
+    __slots__ = (
+        'ejected_until',
+        'failures',
+        'full_until',
+        'in_flight',
+        'latency_s',
+        'level',
+        'level_at',
+        'limit',
+        'load',
+        'seen_at',
+    )
+
+    def __init__(self, now: float) -> None:
+        self.in_flight = 0
+        self.latency_s = 0.0
+        self.level = Level()
+        self.level_at = now
+        self.limit = 0
+        self.load = 0
+        self.failures = 0
+        self.ejected_until = 0.0
+        self.full_until = 0.0
+        self.seen_at = now
+
+    def slots(self, entry: DirectoryEntry) -> int:
+        return self.limit or entry.slots or DEFAULT_SLOTS
+
+    def has_room(self, entry: DirectoryEntry, now: float) -> bool:
+        """Return whether a request would probably start at once."""
+        if now < self.full_until:
+            return False
+        fresh = now - self.level_at < LEVEL_LIFETIME_S
+        load = max(self.in_flight, self.load) if fresh else self.in_flight
+        return load < self.slots(entry)
+
+    def passes(self, importance: Importance, bucket: int, now: float) -> bool:
+        """Return whether the gate would let a request in, or may now."""
+        return now - self.level_at >= LEVEL_LIFETIME_S or passes(
+            self.level, importance, bucket
+        )
+
+    def overflows(self, entry: DirectoryEntry) -> bool:
+        return self.in_flight >= OVERFLOW_FACTOR * self.slots(entry)
+
+    def learn_latency(self, sample_s: float) -> None:
+        if not self.latency_s:
+            self.latency_s = sample_s
+            return
+        rising = sample_s > self.latency_s
+        weight = LATENCY_RISE_WEIGHT if rising else LATENCY_FALL_WEIGHT
+        self.latency_s += weight * (sample_s - self.latency_s)
+
+
+_Offered = tuple[DirectoryEntry, _Statistics | None]
+
+
+class TargetChooser:
+    """Chooses targets and learns from their answers.
+
+    Args:
+        domain: Own failure domain, whose targets come first.
+        shedding: Whether to refuse what a gate would refuse.
+    """
+
+    def __init__(self, domain: str, *, shedding: bool = True) -> None:
+        self._domain = domain
+        self._shedding = shedding
+        self._statistics: dict[str, _Statistics] = {}
+
+    def __len__(self) -> int:
+        return len(self._statistics)
+
+    def in_flight(self, address: str) -> int:
+        """Return the own requests at a target."""
+        known = self._statistics.get(address)
+        return known.in_flight if known else 0
+
+    def choose(
+        self,
+        entries: Sequence[DirectoryEntry],
+        *,
+        importance: Importance,
+        bucket: int,
+        regions: Mapping[str, str],
+        now: float,
+        rng: random.Random,
+        excluded: Collection[str] = (),
+    ) -> Choice:
+        """Choose a target and count the request as in flight there.
+
+        Args:
+            entries: Serving targets of the service.
+            importance: Importance of the request.
+            bucket: Shedding bucket of the top-level request.
+            regions: Region of each failure domain.
+            now: Monotonic seconds.
+            rng: Source of the random choices.
+            excluded: Addresses that were tried already.
+        """
+        known = self._statistics
+        offered = [
+            (entry, known.get(entry.address))
+            for entry in entries
+            if entry.address not in excluded
+        ]
+        if not offered:
+            return Choice(Reason.NO_TARGET)
+        # With every target ejected, trying one beats refusing for sure.
+        pool = [
+            pair
+            for pair in offered
+            if pair[1] is None or now >= pair[1].ejected_until
+        ] or offered
+        passing = pool
+        if self._shedding:
+            passing = [
+                pair
+                for pair in pool
+                if pair[1] is None or pair[1].passes(importance, bucket, now)
+            ]
+        if not passing:
+            return Choice(Reason.SHED_AT_ENTRY, candidates=len(pool))
+        usable = _with_room(passing, now)
+        if not usable:
+            return Choice(Reason.NO_ROOM, candidates=len(pool))
+        nearest = self._nearest(usable, regions)
+        entry, compared = _better_of_two(nearest, rng)
+        return self._start(entry, compared, len(pool), now)
+
+    def finish(
+        self,
+        address: str,
+        *,
+        reason: Reason,
+        now: float,
+        status: int = 0,
+        latency_s: float = 0.0,
+        load: GateLoad | None = None,
+    ) -> None:
+        """Learn from the end of a request at a target.
+
+        Args:
+            address: Address of the chosen entry.
+            reason: `served` or why there is no answer of the target.
+            now: Monotonic seconds.
+            status: HTTP status of the target.
+            latency_s: Seconds from sending to the answer.
+            load: Load that came with the answer.
+        """
+        known = self._statistics.get(address)
+        if known is None:
+            return
+        known.in_flight -= 1
+        known.seen_at = now
+        if load is not None:
+            known.level, known.level_at = load.level, now
+            known.limit = load.limit
+            known.load = load.in_flight + load.queued
+        if reason in _FAILED_REASONS:
+            self._eject(known, now)
+        elif reason in _FULL_REASONS:
+            known.full_until = now + FULL_BACKOFF_S
+        elif reason is Reason.SERVED:
+            known.failures = 0
+            known.ejected_until = 0.0
+            # A fast failure is no sign of spare capacity.
+            if status < _SERVER_ERROR_STATUS or latency_s > known.latency_s:
+                known.learn_latency(latency_s)
+        elif reason is Reason.DEADLINE_EXPIRED:
+            known.learn_latency(max(latency_s, known.latency_s))
+
+    def prune(self, now: float) -> None:
+        """Forget targets that have not been used for a while."""
+        idle = [
+            address
+            for address, known in self._statistics.items()
+            if not known.in_flight and now - known.seen_at > IDLE_FORGET_S
+        ]
+        for address in idle:
+            del self._statistics[address]
+
+    def _start(
+        self,
+        entry: DirectoryEntry,
+        compared: tuple[Candidate, ...],
+        candidates: int,
+        now: float,
+    ) -> Choice:
+        known = self._statistics.get(entry.address)
+        if known is None:
+            known = self._statistics[entry.address] = _Statistics(now)
+        known.in_flight += 1
+        known.seen_at = now
+        is_probe = known.failures > 0
+        if is_probe:
+            # Other requests wait for the outcome of this one.
+            known.ejected_until = max(
+                known.ejected_until, now + FIRST_EJECTION_S
+            )
+        if now - known.level_at >= LEVEL_LIFETIME_S:
+            known.level_at = now
+        return Choice(
+            Reason.SERVED, entry, candidates, Loads(compared), is_probe
+        )
+
+    def _eject(self, known: _Statistics, now: float) -> None:
+        length_s = min(
+            FIRST_EJECTION_S * 2**known.failures, LONGEST_EJECTION_S
+        )
+        known.failures = min(known.failures + 1, 16)
+        known.ejected_until = now + length_s
+
+    def _nearest(
+        self, offered: list[_Offered], regions: Mapping[str, str]
+    ) -> list[_Offered]:
+        own = [pair for pair in offered if pair[0].domain == self._domain]
+        if own:
+            return own
+        region = regions.get(self._domain)
+        if region is None:
+            return offered
+        near = [
+            pair for pair in offered if regions.get(pair[0].domain) == region
+        ]
+        return near or offered
+
+
+def _with_room(offered: list[_Offered], now: float) -> list[_Offered]:
+    """Return the targets with room, else those with a queue to wait in."""
+    return [
+        (entry, known)
+        for entry, known in offered
+        if known is None or known.has_room(entry, now)
+    ] or [
+        (entry, known)
+        for entry, known in offered
+        if known is None or not known.overflows(entry)
+    ]
+
+
+def _better_of_two(
+    offered: list[_Offered], rng: random.Random
+) -> tuple[DirectoryEntry, tuple[Candidate, ...]]:
+    count = len(offered)
+    if count == 1:
+        return offered[0][0], (_candidate(offered[0], 0.0),)
+    first = int(rng.random() * count)
+    second = int(rng.random() * (count - 1))
+    second += second >= first
+    pair = (offered[first], offered[second])
+    latencies = [known.latency_s if known else 0.0 for _, known in pair]
+    # A target without an answer yet is compared as if it were as fast as
+    # the other one, so that it is neither flooded nor avoided.
+    known_s = max(latencies) or 1.0
+    seen = (
+        _candidate(pair[0], latencies[0] or known_s),
+        _candidate(pair[1], latencies[1] or known_s),
+    )
+    return pair[seen[1].cost < seen[0].cost][0], seen
+
+
+def _candidate(offered: _Offered, latency_s: float) -> Candidate:
+    entry, known = offered
+    if known is None:
+        slots = entry.slots or DEFAULT_SLOTS
+        return Candidate(entry.target, 0, latency_s / slots)
+    cost = (known.in_flight + 1) * latency_s / known.slots(entry)
+    return Candidate(entry.target, known.in_flight, cost)
--- a/packages/daemon/src/turmericrouter_daemon/application.py
+++ b/packages/daemon/src/turmericrouter_daemon/application.py
@@ -11,6 +11,7 @@
 from turmericrouter_client.log_service import LogClient
 from turmericrouter_core.directory import Directory
 from turmericrouter_core.errors import SettingsError
+from turmericrouter_core.messages import CrashMarks
 from turmericrouter_core.messages import Dispatch
 from turmericrouter_core.verdict import Refusal
 from turmericrouter_daemon.call import Answer
@@ -30,6 +31,7 @@
 from turmericrouter_daemon.peer import MessageRouter
 from turmericrouter_daemon.peer import PeerPool
 from turmericrouter_daemon.peer import PeerServer
+from turmericrouter_daemon.quarantine_service import QuarantineService
 from turmericrouter_daemon.runtime import Runtime
 from turmericrouter_daemon.settings import Settings
 from turmericrouter_daemon.timers import SystemClock
@@ -112,15 +114,18 @@
         self._membership = MembershipService(
             runtime, self._config, self._directory, self._gossip
         )
-        self._gate = Gate(runtime, self._config)
+        self._quarantine = QuarantineService(runtime, directory, self._peers)
+        self._gate = Gate(runtime, self._config, self._quarantine)
         self._peer_server = PeerServer(runtime, router, self._tls)
-        dispatcher = Dispatcher(
+        self._dispatcher = dispatcher = Dispatcher(
             runtime,
+            self._config,
             self._directory.directory,
             self._gate,
             self._peers,
             _NoQuota(),
             _NoOperations(),
+            self._quarantine,
         )
         self._entry = Entry(runtime, self._config, dispatcher, self._tls)
         self._local = LocalListener(
@@ -128,6 +133,7 @@
         )
         router.register(Dispatch, self._gate.handle)
         self._admin = self._make_admin()
+        router.register(CrashMarks, self._quarantine.handle)
 
     async def run(self) -> None:
         """Start, serve until a signal comes, and stop gracefully."""
@@ -142,6 +148,8 @@
         await self._membership.start()
         await self._config.start()
         await self._directory.start()
+        await self._quarantine.start()
+        await self._dispatcher.start()
         await self._local.start()
         await self._entry.start()
         if self._admin is not None:
@@ -185,6 +193,7 @@
         """Close listeners and links after the last answers have left."""
         await self._entry.stop(timeout_s)
         await self._local.stop()
+        await self._quarantine.stop()
         await self._directory.stop()
         await self._membership.stop()
         await self._gossip.stop()
