Run non-idempotent requests at most once

Cause: every operation was started whenever it came, so a resend could run a second time.

Ruled out: a log record per operation (several hundred appends a second); cancelling a dispatched operation when its caller disconnects, since its outcome would stay unknown and the resend could get no answer.

Before and after: before, no state was kept.

Conclusion: the home of an id decides; rosters name the homes, and a home that may have been replaced stops.

--- a/packages/core/src/turmericrouter_core/control.py
+++ b/packages/core/src/turmericrouter_core/control.py
@@ -20,11 +20,14 @@
         base_epoch: Epoch that the change was made from; the change is
             ignored if another one came first.
         holders: Addresses that hold quota slices and operations.
+        released: Former holders that stopped acting before the change was
+            appended; whoever takes over from them need not wait.
     """
 
     domain: str
     base_epoch: int
     holders: tuple[str, ...]
+    released: tuple[str, ...] = ()
 
 
 ControlRecord = Announcement | RosterChange
--- a/packages/core/src/turmericrouter_core/messages.py
+++ b/packages/core/src/turmericrouter_core/messages.py
@@ -256,12 +256,15 @@
 
 @_code(32)
 class FinishOperation(Message, frozen=True):
-    """Store the answer of a started operation. Reply: `Done`."""
+    """Store the answer of a started operation. Reply: `Done`.
+
+    An answer that is too long to keep is left out.
+    """
 
     workspace: str
     operation_id: str
     nonce: int
-    answer: StoredAnswer
+    answer: StoredAnswer | None
 
 
 @_code(33)
@@ -435,3 +438,17 @@
     sender: str
     probed: str
     updates: tuple[DirectoryEntry, ...]
+
+
+@_code(23)
+class RosterQuery(Message, frozen=True):
+    """Ask a peer for the roster epoch of a failure domain."""
+
+    domain: str
+
+
+@_code(24)
+class RosterEpoch(Message, frozen=True):
+    """Reply to `RosterQuery`; -1 if the peer knows no roster."""
+
+    epoch: int
--- a/packages/core/src/turmericrouter_core/roster.py
+++ b/packages/core/src/turmericrouter_core/roster.py
@@ -1,6 +1,12 @@
 """Rosters: which addresses hold quota slices and operations."""
 
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+import enum
+
 import msgspec
+import xxhash
 
 from turmericrouter_core.control import RosterChange
 
@@ -55,3 +61,204 @@
         for domain in changed:
             self._rosters[domain] = rosters[domain]
         return changed
+
+
+def _score(item: str, member: str) -> tuple[int, str]:
+    return xxhash.xxh3_64_intdigest(f'{item}|{member}'.encode()), member
+
+
+def rank(item: str, members: Iterable[str]) -> list[str]:
+    """Return members by rendezvous hash for an item, best first."""
+    return sorted(members, key=lambda m: _score(item, m), reverse=True)
+
+
+def holder_of(item: str, holders: Iterable[str]) -> str:
+    """Return the holder of an item, empty without holders."""
+    return max(holders, key=lambda m: _score(item, m), default='')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DomainView:
+    """What a member sees of its failure domain.
+
+    Args:
+        domain: Name of the domain.
+        live: Addresses that serve.
+        dead_for_s: Seconds since each dead member was found dead.
+        known: Members seen when the log was last read.
+    """
+
+    domain: str
+    live: frozenset[str]
+    dead_for_s: Mapping[str, float]
+    known: int
+
+
+def propose(
+    own: str,
+    roster: Roster,
+    view: DomainView,
+    *,
+    limit: int,
+    takeover_after_s: float,
+) -> RosterChange | None:
+    """Return the change that this member has to propose, if any.
+
+    Only the first live member by address proposes, and only while it sees
+    more than half of the domain, so that a cut-off minority replaces nobody.
+
+    Args:
+        own: Address of this member.
+        roster: Roster in force.
+        view: What this member sees.
+        limit: Most holders.
+        takeover_after_s: Seconds after which a dead holder is replaced.
+    """
+    if not view.live or own != min(view.live):
+        return None
+    if 2 * len(view.live) <= view.known:
+        return None
+    kept = [
+        holder
+        for holder in roster.holders
+        if view.dead_for_s.get(holder, 0.0) < takeover_after_s
+    ]
+    joining = rank(view.domain, view.live.difference(kept))
+    holders = tuple(kept + joining[: max(0, limit - len(kept))])
+    if not holders or set(holders) == set(roster.holders):
+        return None
+    return RosterChange(view.domain, roster.epoch, holders)
+
+
+class FenceState(enum.StrEnum):
+    """Whether a holder may act, and why not."""
+
+    CLEAR = 'clear'
+    CUT_OFF = 'cut-off'
+    PAUSED = 'paused'
+    SUPERSEDED = 'superseded'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FenceView:
+    """What a holder knows at the moment it is asked to act.
+
+    Args:
+        log_age_s: Seconds since the log was read.
+        members_now: Members of the domain seen now, itself included.
+        members_at_read: Members seen when the log was last read.
+        pause_s: Longest pause of the event loop since the log was read or
+            the current epoch heard.
+        epoch: Epoch of the holder's roster.
+        epoch_heard: Highest epoch heard from anybody.
+    """
+
+    log_age_s: float
+    members_now: int
+    members_at_read: int
+    pause_s: float
+    epoch: int
+    epoch_heard: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fence:
+    """Stops a holder that may have been replaced.
+
+    Args:
+        fence_after_s: Age of the log from which members are counted.
+        max_pause_s: Longest pause after which a holder goes on.
+    """
+
+    fence_after_s: float
+    max_pause_s: float
+
+    @property
+    def start_delay_s(self) -> float:
+        """Return seconds that a new holder waits for the former one."""
+        return self.fence_after_s + self.max_pause_s
+
+    def check(self, view: FenceView) -> FenceState:
+        """Return whether a holder may act."""
+        if view.epoch_heard > view.epoch:
+            return FenceState.SUPERSEDED
+        if view.pause_s > self.max_pause_s:
+            return FenceState.PAUSED
+        is_minority = 2 * view.members_now <= view.members_at_read
+        if view.log_age_s > self.fence_after_s and is_minority:
+            return FenceState.CUT_OFF
+        return FenceState.CLEAR
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Change:
+    """A roster change as this process has learnt it."""
+
+    before: tuple[str, ...]
+    after: tuple[str, ...]
+    released: tuple[str, ...]
+    read_at: float
+
+
+class Tenure:
+    """Tells since when this daemon holds an item of its domain.
+
+    An item that moves between holders is not touched by the new one before
+    the former one has certainly stopped: at once if the former one released
+    itself, else after the start delay. The very first roster of a domain
+    has no former holders.
+
+    Args:
+        own: Address of this daemon.
+        started_at: Monotonic seconds of the process start.
+        delay_s: Start delay of a new holder in seconds.
+        keep_s: Seconds for which changes are remembered.
+    """
+
+    def __init__(
+        self, own: str, started_at: float, *, delay_s: float, keep_s: float
+    ) -> None:
+        self._own = own
+        self._started_at = started_at
+        self._delay_s = delay_s
+        self._keep_s = keep_s
+        self._holders: tuple[str, ...] = ()
+        self._changes: list[_Change] = []
+
+    def change(
+        self,
+        now: float,
+        holders: tuple[str, ...],
+        released: tuple[str, ...] = (),
+    ) -> None:
+        """Take in the holders of a newer roster.
+
+        Args:
+            now: Monotonic seconds.
+            holders: Holders from now on.
+            released: Former holders that had stopped before the change.
+        """
+        oldest = now - self._keep_s - self._delay_s
+        self._changes = [c for c in self._changes if c.read_at >= oldest]
+        if self._holders:
+            self._changes.append(
+                _Change(self._holders, holders, released, now)
+            )
+        self._holders = holders
+
+    def since(self, item: str) -> float | None:
+        """Return the monotonic second from which the item is held here.
+
+        It may lie ahead. None means that another daemon holds the item.
+        """
+        if holder_of(item, self._holders) != self._own:
+            return None
+        begin = self._started_at
+        for change in self._changes:
+            before = holder_of(item, change.before)
+            if before == holder_of(item, change.after):
+                continue
+            is_released = before in change.released
+            delay_s = 0.0 if is_released else self._delay_s
+            begin = max(begin, change.read_at + delay_s)
+        return begin
--- a/packages/core/src/turmericrouter_core/verdict.py
+++ b/packages/core/src/turmericrouter_core/verdict.py
@@ -69,6 +69,7 @@
     CANCELLED = 'cancelled'
     DAEMON_STOPPING = 'daemon-stopping'
     INTERNAL_ERROR = 'internal-error'
+    OPERATION_HOME_FULL = 'operation-home-full'
 
 
 _STATUS_OF_REASON: dict[Reason, int] = {
--- a/packages/daemon/src/turmericrouter_daemon/application.py
+++ b/packages/daemon/src/turmericrouter_daemon/application.py
@@ -8,10 +8,12 @@
 import time
 
 from turmericrouter_client.log_service import LogClient
+from turmericrouter_core.messages import AbortOperation
+from turmericrouter_core.messages import BeginOperation
 from turmericrouter_core.messages import Dispatch
+from turmericrouter_core.messages import FinishOperation
+from turmericrouter_core.messages import RosterQuery
 from turmericrouter_core.verdict import Refusal
-from turmericrouter_daemon.call import Answer
-from turmericrouter_daemon.call import Call
 from turmericrouter_daemon.config_sync import ConfigSync
 from turmericrouter_daemon.decisions import DecisionLog
 from turmericrouter_daemon.directory_sync import DirectorySync
@@ -21,9 +23,11 @@
 from turmericrouter_daemon.local import LocalListener
 from turmericrouter_daemon.logs import open_log
 from turmericrouter_daemon.metrics import open_metrics
+from turmericrouter_daemon.operation_service import OperationService
 from turmericrouter_daemon.peer import MessageRouter
 from turmericrouter_daemon.peer import PeerPool
 from turmericrouter_daemon.peer import PeerServer
+from turmericrouter_daemon.roster_service import RosterService
 from turmericrouter_daemon.runtime import Runtime
 from turmericrouter_daemon.settings import Settings
 from turmericrouter_daemon.timers import SystemClock
@@ -45,16 +49,6 @@
         return
 
 
-class _NoOperations:
-    """Starts every operation; replaced by the operation service."""
-
-    async def begin(self, call: Call) -> Answer | int:
-        return 0
-
-    async def finish(self, call: Call, nonce: int, answer: Answer) -> None:
-        return
-
-
 class Application:
     """Builds all parts and runs them until a signal comes.
 
@@ -85,19 +79,33 @@
         self._gate = Gate(runtime, self._config)
         self._peers = PeerPool(runtime, router, self._tls)
         self._peer_server = PeerServer(runtime, router, self._tls)
-        dispatcher = Dispatcher(
+        self._rosters = RosterService(
+            runtime,
+            self._config,
+            self._directory,
+            self._peers,
+            self._log_client,
+        )
+        self._operations = OperationService(
+            runtime, self._config, self._peers, self._rosters
+        )
+        self._dispatcher = dispatcher = Dispatcher(
             runtime,
             self._directory.directory,
             self._gate,
             self._peers,
             _NoQuota(),
-            _NoOperations(),
+            self._operations,
         )
         self._entry = Entry(runtime, self._config, dispatcher, self._tls)
         self._local = LocalListener(
             runtime, self._config, self._gate, self._directory, dispatcher
         )
         router.register(Dispatch, self._gate.handle)
+        router.register(RosterQuery, self._rosters.handle_query)
+        router.register(BeginOperation, self._operations.handle_begin)
+        router.register(FinishOperation, self._operations.handle_finish)
+        router.register(AbortOperation, self._operations.handle_abort)
 
     async def run(self) -> None:
         """Start, serve until a signal comes, and stop gracefully."""
@@ -110,6 +118,7 @@
         """Start all parts; callers are accepted last."""
         await self._config.start()
         await self._peer_server.start()
+        await self._rosters.start()
         await self._local.start()
         await self._entry.start()
         # Objects made so far live as long as the process; collecting them
@@ -123,15 +132,19 @@
         stop = self._settings.stop
         self._runtime.log.info('daemon_stopping')
         await self._directory.leave()
+        await self._rosters.release()
         await asyncio.sleep(stop.announce_s)
         self._entry.leave()
         self._gate.leave()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(stop.drain_s):
                 await self._entry.drained()
+                await self._dispatcher.drained()
+                await self._operations.drained()
                 await self._gate.drained()
         await self._entry.stop()
         await self._local.stop()
+        await self._rosters.stop()
         await self._peers.stop()
         await self._peer_server.stop()
         await self._config.stop()
--- a/packages/daemon/src/turmericrouter_daemon/config_sync.py
+++ b/packages/daemon/src/turmericrouter_daemon/config_sync.py
@@ -12,6 +12,7 @@
 from turmericrouter_core.config import Route
 from turmericrouter_core.control import ControlRecord
 from turmericrouter_core.control import decode_control
+from turmericrouter_core.control import RosterChange
 from turmericrouter_core.errors import ConfigError
 from turmericrouter_core.errors import LogServiceError
 from turmericrouter_core.routing import RouteTable
@@ -37,6 +38,9 @@
         self._log_read_at: float | None = None
         self._config_subscribers: list[Callable[[Applied], None]] = []
         self._control_subscribers: list[Callable[[ControlRecord], None]] = []
+        self._roster_subscribers: list[
+            Callable[[int, RosterChange], None]
+        ] = []
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -69,6 +73,10 @@
         """Subscribe to control records."""
         self._control_subscribers.append(callback)
 
+    def on_roster(self, callback: Callable[[int, RosterChange], None]) -> None:
+        """Subscribe to roster changes with their offsets."""
+        self._roster_subscribers.append(callback)
+
     async def start(self) -> None:
         """Start reading."""
         self._tasks = [
@@ -130,6 +138,9 @@
             return
         for callback in self._control_subscribers:
             callback(record)
+        if isinstance(record, RosterChange):
+            for notify in self._roster_subscribers:
+                notify(offset, record)
 
     def _rebuild_routes(self) -> None:
         self._routes = RouteTable(
--- a/packages/daemon/src/turmericrouter_daemon/dispatch.py
+++ b/packages/daemon/src/turmericrouter_daemon/dispatch.py
@@ -1,5 +1,6 @@
 """Takes one request from admission to its answer."""
 
+import asyncio
 import random
 from typing import Protocol
 
@@ -73,16 +74,42 @@
         self._peers = peers
         self._quota = quota
         self._operations = operations
+        self._serving: set[asyncio.Task[Answer]] = set()
         self._rng = random.Random(runtime.rng.getrandbits(64))
 
     async def serve(self, call: Call) -> Answer:
         """Return the answer of an authorised request."""
         if call.operation is None:
             return await self._serve_admitted(call)
+        # A caller that disconnects must not leave the state of its operation
+        # open, so a dispatched request runs on; its answer waits for the
+        # resend.
+        gone = asyncio.Event()
+        task = asyncio.create_task(self._serve_operation(call, gone))
+        self._serving.add(task)
+        task.add_done_callback(self._serving.discard)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            gone.set()
+            raise
+
+    async def drained(self) -> None:
+        """Wait until no operation is in flight."""
+        while self._serving:
+            await asyncio.wait(self._serving)
+
+    async def _serve_operation(
+        self, call: Call, gone: asyncio.Event
+    ) -> Answer:
         begun = await self._operations.begin(call)
         if isinstance(begun, Answer):
             return begun
-        answer = await self._serve_admitted(call)
+        if gone.is_set():
+            # The caller may have sent the request again elsewhere by now.
+            answer = refuse(Reason.CANCELLED)
+        else:
+            answer = await self._serve_admitted(call)
         await self._operations.finish(call, begun, answer)
         return answer
 
--- /dev/null
+++ b/packages/daemon/src/turmericrouter_daemon/roster_service.py
@@ -0,0 +1,329 @@
+"""Follows the rosters, proposes changes and guards this holder's acts."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
+
+from turmericrouter_client.log_service import LogService
+from turmericrouter_core.config import CONTROL_STREAM
+from turmericrouter_core.control import decode_control
+from turmericrouter_core.control import encode_control
+from turmericrouter_core.control import RosterChange
+from turmericrouter_core.directory import Mark
+from turmericrouter_core.directory import MemberState
+from turmericrouter_core.errors import ConfigError
+from turmericrouter_core.errors import LinkError
+from turmericrouter_core.errors import LogServiceError
+from turmericrouter_core.messages import Hello
+from turmericrouter_core.messages import RosterEpoch
+from turmericrouter_core.messages import RosterQuery
+from turmericrouter_core.roster import DomainView
+from turmericrouter_core.roster import Fence
+from turmericrouter_core.roster import FenceState
+from turmericrouter_core.roster import FenceView
+from turmericrouter_core.roster import holder_of
+from turmericrouter_core.roster import propose
+from turmericrouter_core.roster import Roster
+from turmericrouter_core.roster import RosterState
+from turmericrouter_core.roster import Tenure
+from turmericrouter_daemon.config_sync import ConfigSync
+from turmericrouter_daemon.directory_sync import DirectorySync
+from turmericrouter_daemon.peer import PeerPool
+from turmericrouter_daemon.runtime import Runtime
+
+Work = Callable[[], Coroutine[Any, Any, None]]
+
+_TICK_S = 0.25
+# Members that start together are found one by one; a roster of the first few
+# would have to be changed at once, and each change costs a start delay.
+_SETTLE_S = 1.0
+# A proposal is not repeated before the log has had time to show it.
+_PROPOSAL_PERIOD_S = 2.0
+_RELEASE_TRIES = 3
+_RELEASE_WAIT_S = 1.0
+_QUERY_TIMEOUT_S = 1.0
+
+
+class RosterService:
+    """Rosters of all domains, and the rules for this daemon as a holder.
+
+    Args:
+        runtime: Services of the process.
+        config: Source of control records.
+        directory: Known members.
+        peers: Links to other daemons.
+        log_service: The platform's log.
+    """
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        config: ConfigSync,
+        directory: DirectorySync,
+        peers: PeerPool,
+        log_service: LogService,
+    ) -> None:
+        self._runtime = runtime
+        self._config = config
+        self._directory = directory
+        self._peers = peers
+        self._log_service = log_service
+        self._own = runtime.address
+        self._domain = runtime.settings.host.domain
+        quota = runtime.settings.quota
+        self._fence = Fence(quota.fence_after_s, quota.max_pause_s)
+        self._state = RosterState()
+        self._tenure: Tenure | None = None
+        # Own roster's changes that came before the tenure was set up.
+        self._pending: list[RosterChange] = []
+        self._epochs_heard: dict[str, int] = {}
+        self._last_tick = 0.0
+        self._pause_s = 0.0
+        self._last_log_age_s = float('inf')
+        self._members_at_read = 0
+        self._dead_since: dict[str, float] = {}
+        self._live: frozenset[str] = frozenset()
+        self._live_since = 0.0
+        self._next_proposal_at = 0.0
+        self._is_released = False
+        self._last_fence = FenceState.CLEAR
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        config.on_roster(self.apply)
+
+    @property
+    def fence_state(self) -> FenceState:
+        """Return whether this daemon may act as a holder now."""
+        now = self._runtime.clock.monotonic()
+        # The tick may not have run yet after a pause.
+        pause_s = max(self._pause_s, now - self._last_tick)
+        view = FenceView(
+            log_age_s=self._config.log_age_s,
+            members_now=len(self._members()),
+            members_at_read=self._members_at_read,
+            pause_s=pause_s,
+            epoch=self.roster(self._domain).epoch,
+            epoch_heard=self._epochs_heard.get(self._domain, -1),
+        )
+        return self._fence.check(view)
+
+    async def start(self) -> None:
+        """Start to act; the peer listener must be bound.
+
+        A process that was bound to this address before has ended by then,
+        so whatever it did as a holder lies before this moment.
+        """
+        settings = self._runtime.settings
+        now = self._runtime.clock.monotonic()
+        self._last_tick = self._live_since = now
+        tenure = Tenure(
+            self._own,
+            now,
+            delay_s=self._fence.start_delay_s,
+            keep_s=settings.operation.retention_s,
+        )
+        for change in self._pending:
+            tenure.change(now, change.holders, change.released)
+        self._pending.clear()
+        self._tenure = tenure
+        self._runtime.timers.every(_TICK_S, self._tick, name='roster')
+
+    async def stop(self) -> None:
+        """End the work in flight."""
+        tasks = list(self._tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def release(self) -> None:
+        """Stop acting as a holder and leave the roster."""
+        self._is_released = True
+        for _ in range(_RELEASE_TRIES):
+            roster = self.roster(self._domain)
+            if self._own not in roster.holders:
+                return
+            holders = tuple(h for h in roster.holders if h != self._own)
+            await self._append(
+                RosterChange(self._domain, roster.epoch, holders, (self._own,))
+            )
+            deadline = self._runtime.clock.monotonic() + _RELEASE_WAIT_S
+            while self.roster(self._domain).epoch == roster.epoch:
+                if self._runtime.clock.monotonic() > deadline:
+                    break
+                await asyncio.sleep(0.02)
+
+    def roster(self, domain: str) -> Roster:
+        """Return the roster of a failure domain."""
+        return self._state.roster(domain)
+
+    def holder(self, domain: str, item: str) -> str:
+        """Return the address that holds an item, empty if nobody does."""
+        return holder_of(item, self.roster(domain).holders)
+
+    def since(self, domain: str, item: str) -> float | None:
+        """Return since when this daemon holds an item.
+
+        Returns:
+            Monotonic seconds, or none if this daemon must not act on it.
+        """
+        if domain != self._domain or self._is_released or not self._tenure:
+            return None
+        since = self._tenure.since(item)
+        if since is None or since > self._runtime.clock.monotonic():
+            return None
+        state = self.fence_state
+        if state is not self._last_fence:
+            self._last_fence = state
+            self._runtime.log.warning('holder_fence', state=state)
+        return since if state is FenceState.CLEAR else None
+
+    def hear(self, domain: str, epoch: int) -> None:
+        """Take in an epoch that a peer has named."""
+        if epoch > self._epochs_heard.get(domain, -1):
+            self._epochs_heard[domain] = epoch
+
+    def apply(self, offset: int, change: RosterChange) -> None:
+        """Apply a roster change of the log."""
+        if not self._state.apply(offset, change):
+            return
+        self.hear(change.domain, offset)
+        self._runtime.decisions.record(
+            'roster_changed',
+            domain=change.domain,
+            epoch=offset,
+            holders=','.join(change.holders),
+            released=','.join(change.released),
+        )
+        if change.domain != self._domain:
+            return
+        if self._tenure is None:
+            self._pending.append(change)
+        else:
+            self._tenure.change(
+                self._runtime.clock.monotonic(),
+                change.holders,
+                change.released,
+            )
+
+    def handle_query(self, message: RosterQuery, sender: Hello) -> RosterEpoch:
+        """Reply to a peer that was paused."""
+        return RosterEpoch(self.roster(message.domain).epoch)
+
+    def _members(self) -> frozenset[str]:
+        entries = self._directory.directory.domain(self._domain)
+        return frozenset({entry.address for entry in entries} | {self._own})
+
+    def _tick(self) -> None:
+        now = self._runtime.clock.monotonic()
+        self._pause_s = max(self._pause_s, now - self._last_tick)
+        self._last_tick = now
+        log_age_s = self._config.log_age_s
+        if log_age_s < self._last_log_age_s:
+            self._members_at_read = len(self._members())
+        self._last_log_age_s = log_age_s
+        if self._pause_s > self._fence.max_pause_s:
+            self._start('refresh', self._refresh)
+        else:
+            self._pause_s = 0.0
+        self._watch(now)
+        self._propose(now)
+
+    def _start(self, name: str, work: Work) -> None:
+        """Run work in a task unless the last one of the name still runs."""
+        running = self._tasks.get(name)
+        if running is None or running.done():
+            self._tasks[name] = asyncio.ensure_future(work())
+
+    def _watch(self, now: float) -> None:
+        """Note which members live and since when others are dead."""
+        directory = self._directory.directory
+        live = frozenset(
+            entry.address
+            for entry in directory.domain(self._domain)
+            if entry.state == MemberState.SERVING
+        )
+        if live != self._live:
+            self._live, self._live_since = live, now
+        dead: dict[str, float] = {}
+        for holder in self.roster(self._domain).holders:
+            entry = directory.get(holder)
+            if entry is None or entry.mark == Mark.DEAD:
+                dead[holder] = self._dead_since.get(holder, now)
+        self._dead_since = dead
+
+    def _propose(self, now: float) -> None:
+        if self._is_released or now < self._next_proposal_at:
+            return
+        if now - self._live_since < _SETTLE_S:
+            return
+        quota = self._runtime.settings.quota
+        view = DomainView(
+            self._domain,
+            self._live,
+            {a: now - since for a, since in self._dead_since.items()},
+            self._members_at_read,
+        )
+        change = propose(
+            self._own,
+            self.roster(self._domain),
+            view,
+            limit=quota.holders_per_domain,
+            takeover_after_s=quota.takeover_after_s,
+        )
+        if change is not None and self._config.log_age_s != float('inf'):
+            self._next_proposal_at = now + _PROPOSAL_PERIOD_S
+            self._start('propose', lambda: self._append(change))
+
+    async def _append(self, change: RosterChange) -> None:
+        try:
+            await self._log_service.append(
+                CONTROL_STREAM, encode_control(change)
+            )
+        except LogServiceError as error:
+            self._runtime.log.warning('roster_append_failed', error=str(error))
+
+    async def _refresh(self) -> None:
+        """Make sure after a pause that the known roster is the current one.
+
+        Messages that waited in a socket during the pause prove nothing, so
+        the log or a peer is asked anew.
+        """
+        if await self._read_log() or await self._ask_peer():
+            self._pause_s = 0.0
+            self._runtime.log.info('holder_refreshed')
+
+    async def _read_log(self) -> bool:
+        after = self.roster(self._domain).epoch
+        while True:
+            try:
+                page = await self._log_service.read(
+                    CONTROL_STREAM, after, wait_s=0.0
+                )
+            except LogServiceError:
+                return False
+            if not page.records:
+                return True
+            for record in page.records:
+                after = record.offset
+                try:
+                    content = decode_control(record.content())
+                except ConfigError:
+                    continue
+                if isinstance(content, RosterChange):
+                    self.apply(record.offset, content)
+
+    async def _ask_peer(self) -> bool:
+        others = sorted(self._members() - {self._own})
+        if not others:
+            return False
+        try:
+            reply = await self._peers.request(
+                self._runtime.rng.choice(others),
+                RosterQuery(self._domain),
+                RosterEpoch,
+                timeout_s=_QUERY_TIMEOUT_S,
+            )
+        except LinkError:
+            return False
+        self.hear(self._domain, reply.epoch)
+        return reply.epoch == self.roster(self._domain).epoch
--- a/packages/daemon/src/turmericrouter_daemon/settings.py
+++ b/packages/daemon/src/turmericrouter_daemon/settings.py
@@ -201,6 +201,8 @@
         max_id_ahead_ms: How far an id may be stamped ahead of the clock.
         max_answer_bytes: Longest answer that is kept for replay.
         home_timeout_ms: Milliseconds to wait for an operation home.
+        max_operations: Most operations that a home remembers.
+        max_answers_bytes: Most bytes of answers that a home keeps.
     """
 
     retention_s: Positive = 900.0
@@ -208,6 +210,8 @@
     max_id_ahead_ms: NotNegative = 500
     max_answer_bytes: Count = 65_536
     home_timeout_ms: Count = 1000
+    max_operations: Count = 100_000
+    max_answers_bytes: Count = 16_777_216
 
 
 class MembershipSettings(_Section, frozen=True):
--- /dev/null
+++ b/tests/system/test_single_execution.py
@@ -0,0 +1,178 @@
+"""Non-idempotent requests run at most once while daemons are killed."""
+
+import asyncio
+import collections
+import pathlib
+import random
+import time
+
+import aiohttp
+
+from turmericrouter_core.config import Fleet as FleetRecord
+from turmericrouter_core.config import Key
+from turmericrouter_core.config import Route
+from turmericrouter_core.config import Value
+from turmericrouter_core.config import Workspace
+from turmericrouter_core.identity import OperationId
+from turmericrouter_standins.fleet import digest_scope
+from turmericrouter_standins.fleet import Fleet
+from turmericrouter_standins.fleet import Reply
+from turmericrouter_standins.fleet import ServiceSpec
+
+KEY = 'secret-key-of-treasury'
+DOMAINS = ('north', 'south')
+VALUES: dict[str, Value | None] = {
+    'fleet': FleetRecord(domains=DOMAINS),
+    'workspace/ward': Workspace(rate_per_s=5000, burst=5000),
+    digest_scope(KEY): Key('ward'),
+    'route/status': Route('works', '/status'),
+    'route/deposit': Route('works', '/deposit', idempotent=False),
+}
+WORKERS = 24
+OPERATIONS_PER_WORKER = 100
+ATTEMPTS = 8
+KILLS = 8
+
+
+def _mint(rng: random.Random) -> str:
+    return OperationId.mint(time.time(), rng.randrange(2), rng).text
+
+
+async def _send(
+    fleet: Fleet, host: int, text: str, *, body: bytes = b'1', **options: float
+) -> Reply | None:
+    """Send a deposit; none if no answer came."""
+    try:
+        return await fleet.call(
+            fleet.hosts[host],
+            '/deposit',
+            key=KEY,
+            method='POST',
+            body=body,
+            headers={'Idempotency-Key': text},
+            **options,
+        )
+    except (aiohttp.ClientError, TimeoutError):
+        return None
+
+
+async def _runs(fleet: Fleet) -> collections.Counter[str]:
+    runs: collections.Counter[str] = collections.Counter()
+    for host in fleet.hosts:
+        for entry in (await fleet.ledger(host))['entries']:
+            if entry['operation']:
+                runs[entry['operation']] += 1
+    return runs
+
+
+async def _wait_homes(fleet: Fleet) -> None:
+    """Wait until every entry gets operations of each domain run."""
+    rng = random.Random(0)
+    for host in range(len(fleet.hosts)):
+        for domain in range(len(DOMAINS)):
+            for _ in range(200):
+                text = OperationId.mint(time.time(), domain, rng).text
+                reply = await _send(fleet, host, text)
+                if reply is not None and reply.verdict == 'ran':
+                    break
+                await asyncio.sleep(0.1)
+            else:
+                raise AssertionError('no operation runs')
+
+
+class _Load:
+    """Callers that send operations until they hear that each ran."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self.told: dict[str, str] = {}
+
+    async def work(self, seed: int) -> None:
+        rng = random.Random(seed)
+        for _ in range(OPERATIONS_PER_WORKER):
+            await self._operate(_mint(rng), rng)
+
+    async def _operate(self, text: str, rng: random.Random) -> None:
+        for _ in range(ATTEMPTS):
+            impatient = rng.random() < 0.05
+            reply = await _send(
+                self._fleet,
+                rng.randrange(len(self._fleet.hosts)),
+                text,
+                timeout_s=0.02 if impatient else 30.0,
+            )
+            # Without an answer the caller knows nothing.
+            self.told[text] = reply.verdict if reply is not None else ''
+            if self.told[text] == 'ran':
+                return
+            await asyncio.sleep(rng.uniform(0.01, 0.1))
+
+
+async def _kill_daemons(fleet: Fleet) -> None:
+    rng = random.Random(7)
+    for _ in range(KILLS):
+        await asyncio.sleep(rng.uniform(0.2, 0.6))
+        daemon = rng.choice(fleet.hosts).daemon
+        daemon.kill()
+        await asyncio.sleep(rng.uniform(0.0, 0.5))
+        daemon.start()
+
+
+async def _check_kills(directory: pathlib.Path) -> None:
+    spec = ServiceSpec('works', per_domain=3, work_ms=2.0)
+    async with Fleet(directory, DOMAINS, [spec]) as fleet:
+        await fleet.publish(VALUES)
+        await fleet.wait_served('/status/1', key=KEY)
+        await _wait_homes(fleet)
+        load = _Load(fleet)
+        await asyncio.gather(
+            _kill_daemons(fleet), *(load.work(seed) for seed in range(WORKERS))
+        )
+        await asyncio.sleep(1.0)
+        runs = await _runs(fleet)
+    told = load.told
+    twice = {text: n for text, n in runs.items() if n > 1}
+    assert twice == {}
+    wrong = [t for t, v in told.items() if v == 'not-run' and runs[t]]
+    assert wrong == []
+    lost = [t for t, v in told.items() if v == 'ran' and not runs[t]]
+    assert lost == []
+    counts = collections.Counter(told.values())
+    print(f'told: {dict(counts)}, runs: {len(runs)}')
+    assert counts['ran'] > 0.5 * len(told)
+
+
+def test_no_operation_runs_twice_while_daemons_are_killed(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against double starts and false not-run verdicts."""
+    asyncio.run(_check_kills(tmp_path))
+
+
+async def _check_resends(directory: pathlib.Path) -> None:
+    spec = ServiceSpec('works', per_domain=2)
+    async with Fleet(directory, DOMAINS, [spec]) as fleet:
+        await fleet.publish(VALUES)
+        await fleet.wait_served('/status/1', key=KEY)
+        await _wait_homes(fleet)
+        text = _mint(random.Random(1))
+        replies = await asyncio.gather(
+            *(_send(fleet, host, text) for host in (0, 1, 2, 3, 0, 1, 2, 3))
+        )
+        assert {r.verdict for r in replies if r is not None} == {'ran'}
+        assert len({r.body for r in replies if r is not None}) == 1
+        other = await _send(fleet, 1, text, body=b'2')
+        assert other is not None
+        assert (other.status, other.verdict) == (422, 'may-have-run')
+        old = OperationId.mint(time.time() - 800, 0, random.Random(2)).text
+        unknown = await _send(fleet, 1, old)
+        assert unknown is not None
+        assert (unknown.status, unknown.verdict) == (409, 'may-have-run')
+        runs = await _runs(fleet)
+        assert runs[text] == 1
+        assert runs[old] == 0
+
+
+def test_resends_get_one_answer(tmp_path: pathlib.Path) -> None:
+    """Guards against concurrent resends that run or answer differently."""
+    asyncio.run(_check_resends(tmp_path))
