Guard holders by a fence and cover the services of quota and operations

Cause: a holder that was paused, cut off or replaced could act beside its successor, and tokens granted before a rate increase could add to those granted after it.

Ruled out: clearing a pause by messages that waited in a socket; letting a proposer count only members it sees alive, since a minority that reads the log would take itself for the whole domain.

Conclusion: changes of quota and roster keep the bounds.

--- a/packages/core/src/turmericrouter_core/quota.py
+++ b/packages/core/src/turmericrouter_core/quota.py
@@ -130,10 +130,15 @@
         )
 
     def set_share(self, share: SliceShare, now: float) -> None:
-        """Change rate and burst; what is above the new depth is lost."""
+        """Change rate and burst; what is above the new depth is lost.
+
+        Tokens granted before hold for the former lifetime, for which the
+        new depth may leave no room; nothing accrues until they have expired.
+        """
         if share == self._share:
             return
         self._fill(now)
+        self._filled_at = max(self._filled_at, now + self._share.lifetime_s)
         self._share = share
         self._level = min(self._level, share.depth)
 
--- a/packages/daemon/src/turmericrouter_daemon/quota_service.py
+++ b/packages/daemon/src/turmericrouter_daemon/quota_service.py
@@ -62,6 +62,7 @@
 
     pool: TokenPool = dataclasses.field(default_factory=TokenPool)
     asked: int = 0
+    waiting: int = 0
     per_s: float = 0.0
     # Monotonic second until which a slice is not asked.
     closed_until: dict[int, float] = dataclasses.field(default_factory=dict)
@@ -113,14 +114,18 @@
         demand.asked += 1
         if self._take(demand):
             return None
-        for _ in range(2):
-            self._draw_in_background(workspace, demand)
-            if demand.drawing is not None:
-                # Requests that wait at the same time share one draw.
-                await asyncio.shield(demand.drawing)
-            if self._take(demand):
-                return None
-        return self._refusal(workspace, demand)
+        demand.waiting += 1
+        try:
+            for _ in range(2):
+                self._draw_in_background(workspace, demand)
+                if demand.drawing is not None:
+                    # Requests that wait at the same time share one draw.
+                    await asyncio.shield(demand.drawing)
+                if self._take(demand):
+                    return None
+            return self._refusal(workspace, demand)
+        finally:
+            demand.waiting -= 1
 
     def give_back(self, workspace: str) -> None:
         """Return the token of this task's request, which was not run."""
@@ -343,7 +348,7 @@
     def _wanted(self, demand: _Demand) -> int:
         """Return the tokens to draw: the demand of half a lifetime."""
         now = self._runtime.clock.monotonic()
-        expected = max(demand.per_s * self._lifetime_s / 2, demand.asked)
+        expected = max(demand.per_s * self._lifetime_s / 2, demand.waiting)
         missing = math.ceil(expected) - demand.pool.available(now)
         return min(max(1, missing), _MAX_GRANT)
 
--- a/packages/daemon/src/turmericrouter_daemon/roster_service.py
+++ b/packages/daemon/src/turmericrouter_daemon/roster_service.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
+import contextlib
 from typing import Any
 
 from turmericrouter_client.log_service import LogService
@@ -41,7 +42,7 @@
 _SETTLE_S = 1.0
 # A proposal is not repeated before the log has had time to show it.
 _PROPOSAL_PERIOD_S = 2.0
-_RELEASE_TRIES = 3
+_RELEASE_TIMEOUT_S = 3.0
 _RELEASE_WAIT_S = 1.0
 _QUERY_TIMEOUT_S = 1.0
 
@@ -90,6 +91,8 @@
         self._live_since = 0.0
         self._next_proposal_at = 0.0
         self._is_released = False
+        # Set when the own domain's roster changes.
+        self._changed = asyncio.Event()
         self._last_fence = FenceState.CLEAR
         self._tasks: dict[str, asyncio.Task[None]] = {}
         config.on_roster(self.apply)
@@ -140,21 +143,30 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     async def release(self) -> None:
-        """Stop acting as a holder and leave the roster."""
+        """Stop acting as a holder and leave the roster.
+
+        If the log does not answer, the others replace this holder later.
+        """
         self._is_released = True
-        for _ in range(_RELEASE_TRIES):
-            roster = self.roster(self._domain)
-            if self._own not in roster.holders:
-                return
-            holders = tuple(h for h in roster.holders if h != self._own)
-            await self._append(
-                RosterChange(self._domain, roster.epoch, holders, (self._own,))
-            )
-            deadline = self._runtime.clock.monotonic() + _RELEASE_WAIT_S
-            while self.roster(self._domain).epoch == roster.epoch:
-                if self._runtime.clock.monotonic() > deadline:
-                    break
-                await asyncio.sleep(0.02)
+        try:
+            async with asyncio.timeout(_RELEASE_TIMEOUT_S):
+                while self._own in self.roster(self._domain).holders:
+                    await self._append_release()
+        except TimeoutError:
+            self._runtime.log.warning('roster_release_failed')
+
+    async def _append_release(self) -> None:
+        roster = self.roster(self._domain)
+        holders = tuple(h for h in roster.holders if h != self._own)
+        await self._append(
+            RosterChange(self._domain, roster.epoch, holders, (self._own,))
+        )
+        # A concurrent change may come first; then the release is repeated.
+        if self.roster(self._domain).epoch == roster.epoch:
+            self._changed.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_RELEASE_WAIT_S):
+                    await self._changed.wait()
 
     def roster(self, domain: str) -> Roster:
         """Return the roster of a failure domain."""
@@ -200,6 +212,7 @@
         )
         if change.domain != self._domain:
             return
+        self._changed.set()
         if self._tenure is None:
             self._pending.append(change)
         else:
--- a/tests/core/test_quota.py
+++ b/tests/core/test_quota.py
@@ -21,8 +21,10 @@
 LIFETIME_S = 0.25
 EPSILON = 1e-6
 # All have two slices, so that only rate and burst change.
-QUOTAS = [(4, 8), (40, 8), (100, 11), (10, 11), (3, 9), (0, 8)]
-delays = st.sampled_from([0.0, 0.01, 0.1, 0.24, 0.3])
+QUOTAS = [(4, 8), (40, 8), (100, 11), (10, 11), (3, 9), (0, 8), (10, 40)]
+# Shares of the tokens' lifetime.
+delays = st.sampled_from([0.0, 0.05, 0.4, 0.9, 1.2])
+holds = st.one_of(delays, st.just(50.0))
 picks = st.integers(0, 1)
 quotas = st.sampled_from(QUOTAS)
 
@@ -73,16 +75,16 @@
         """Fill the buckets."""
         self.now += 5.0
 
-    @rule(passed_s=delays)
-    def wait(self, passed_s: float) -> None:
-        self.now += passed_s
+    @rule(passed=delays)
+    def wait(self, passed: float) -> None:
+        self.now += passed * self.share.lifetime_s
 
     @rule(
         entry=picks,
         index=picks,
         count=st.sampled_from([1, 3, 100]),
-        there_s=delays,
-        back_s=delays,
+        there=delays,
+        back=delays,
         is_lost=st.sampled_from([False, False, False, True]),
     )
     def draw(
@@ -90,20 +92,55 @@
         entry: int,
         index: int,
         count: int,
-        there_s: float,
-        back_s: float,
+        there: float,
+        back: float,
         is_lost: bool,
     ) -> None:
         sent_at = self.now
-        self.now += there_s
+        self.wait(there)
         grant = self.slices[index].draw(count, self.now)
         assert 0 <= grant.count <= count
-        self.now += back_s
+        self.wait(back)
         if grant.count and not is_lost:
             expires_at = sent_at + grant.lifetime_s
             batch = Batch(('', index), grant.grant_id, grant.count, expires_at)
             self.pools[entry].add(batch)
 
+    @rule(
+        passed=st.one_of(delays, st.just(50.0)),
+        is_changed=st.booleans(),
+        quota=quotas,
+    )
+    def hold_tokens(
+        self, passed: float, is_changed: bool, quota: tuple[float, float]
+    ) -> None:
+        """Draw all, keep the tokens for a while, and spend them with more."""
+        self._draw_all()
+        if is_changed:
+            self.change_quota(quota, 0)
+        self.wait(passed)
+        self.return_unspent(1, 0.01)
+        self.deliver_returns()
+        self.deliver_returns()
+        self._draw_all()
+        self.spend(0, 100)
+        self.spend(1, 100)
+
+    @rule()
+    def spend_and_restart_holders(self) -> None:
+        self._draw_all()
+        self.spend(0, 100)
+        self.spend(1, 100)
+        for index in range(2):
+            self.restart_holder(index, 0)
+        self._draw_all()
+        self.spend(0, 100)
+        self.spend(1, 100)
+
+    def _draw_all(self) -> None:
+        for entry, index in ((0, 0), (1, 1)):
+            self.draw(entry, index, 100, 0.0, 0.0, False)
+
     @rule(entry=picks, count=st.sampled_from([1, 2, 100]))
     def spend(self, entry: int, count: int) -> None:
         taken = 0
--- /dev/null
+++ b/tests/core/test_roster.py
@@ -0,0 +1,264 @@
+"""No two holders act for one item, whatever pauses and cuts occur."""
+
+import itertools
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import initialize
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+
+from turmericrouter_core.control import RosterChange
+from turmericrouter_core.roster import DomainView
+from turmericrouter_core.roster import Fence
+from turmericrouter_core.roster import FenceState
+from turmericrouter_core.roster import FenceView
+from turmericrouter_core.roster import holder_of
+from turmericrouter_core.roster import propose
+from turmericrouter_core.roster import Roster
+from turmericrouter_core.roster import RosterState
+from turmericrouter_core.roster import Tenure
+
+FENCE = Fence(fence_after_s=20.0, max_pause_s=5.0)
+TAKEOVER_S = 60.0
+DETECTION_S = 5.0
+STEP_S = 1.0
+ITEMS = ('a', 'b', 'c')
+
+
+class _Member:
+    """A daemon with its own, perhaps old, view."""
+
+    def __init__(self, name: str, now: float) -> None:
+        self.name = name
+        self.state = RosterState()
+        self.tenure = Tenure(
+            name, now, delay_s=FENCE.start_delay_s, keep_s=900.0
+        )
+        self.offset = -1
+        self.heard = -1
+        self.read_at = float('-inf')
+        self.members_at_read = 0
+        self.last_tick = now
+        self.pause_s = 0.0
+        self.seen_at: dict[str, float] = {}
+        self.has_log = True
+        self.is_paused = False
+        self.is_released = False
+
+    def members(self, now: float) -> set[str]:
+        alive = {m for m, at in self.seen_at.items() if now - at < DETECTION_S}
+        return alive | {self.name}
+
+    def take_in(self, log: list[RosterChange], now: float) -> None:
+        for offset in range(self.offset + 1, len(log)):
+            self.offset = offset
+            change = log[offset]
+            if self.state.apply(offset, change):
+                self.heard = max(self.heard, offset)
+                self.tenure.change(now, change.holders, change.released)
+
+    def may_act(self, item: str, now: float) -> bool:
+        since = self.tenure.since(item)
+        if self.is_released or since is None or since > now:
+            return False
+        view = FenceView(
+            log_age_s=now - self.read_at,
+            members_now=len(self.members(now)),
+            members_at_read=self.members_at_read,
+            pause_s=max(self.pause_s, now - self.last_tick),
+            epoch=self.state.roster('d').epoch,
+            epoch_heard=self.heard,
+        )
+        return FENCE.check(view) is FenceState.CLEAR
+
+
+class FenceMachine(RuleBasedStateMachine):
+    """Members of one domain that are cut off, paused, killed and released.
+
+    A group is a set of members that reach each other. The oracle asks every
+    member that runs whether it would act, at every step.
+    """
+
+    @initialize(size=st.integers(1, 5))
+    def begin_world(self, size: int) -> None:
+        self.now = 0.0
+        self.log: list[RosterChange] = []
+        self.members = {f'm{n}': _Member(f'm{n}', 0.0) for n in range(size)}
+        self.group = dict.fromkeys(self.members, 0)
+        self.run_on(5)
+        for item in ITEMS:
+            assert len(self._actors(item)) == 1, 'a fleet starts at once'
+
+    @rule(steps=st.sampled_from([1, 4, 19, 30, 70, 100]))
+    def run_on(self, steps: int) -> None:
+        for _ in range(steps):
+            self.now += STEP_S
+            for member in self.members.values():
+                if not member.is_paused:
+                    self._step(member)
+            for item in ITEMS:
+                assert len(self._actors(item)) <= 1, (self.now, item)
+
+    @rule(pick=st.integers(0, 4), group=st.integers(0, 1), log=st.booleans())
+    def cut(self, pick: int, group: int, log: bool) -> None:
+        member = self._pick(pick)
+        self.group[member.name] = group
+        member.has_log = log
+
+    @rule(groups=st.lists(st.booleans(), min_size=5, max_size=5))
+    def split(self, groups: list[bool]) -> None:
+        """Cut the domain in two; one part loses the log as well."""
+        for member, side in zip(self.members.values(), groups, strict=False):
+            self.group[member.name] = int(side)
+            member.has_log = side
+
+    @rule()
+    def heal(self) -> None:
+        self.group = dict.fromkeys(self.members, 0)
+        for member in self.members.values():
+            member.has_log = True
+
+    @rule(pick=st.integers(0, 4))
+    def pause_or_resume(self, pick: int) -> None:
+        member = self._pick(pick)
+        member.is_paused = not member.is_paused
+
+    @rule(pick=st.integers(0, 4))
+    def restart(self, pick: int) -> None:
+        name = self._pick(pick).name
+        self.members[name] = _Member(name, self.now)
+
+    @rule(pick=st.integers(0, 4))
+    def release(self, pick: int) -> None:
+        """Stop gracefully; the process ends and starts later."""
+        member = self._pick(pick)
+        member.is_released = True
+        roster = member.state.roster('d')
+        if member.has_log and member.name in roster.holders:
+            left = tuple(h for h in roster.holders if h != member.name)
+            released = (member.name,)
+            self.log.append(RosterChange('d', roster.epoch, left, released))
+
+    @rule(cut=st.integers(0, 4), pick=st.integers(0, 4))
+    def cut_one_and_release_another(self, cut: int, pick: int) -> None:
+        """Change the roster just after a holder has lost contact."""
+        self.run_on(1)
+        self.cut(cut, 1, False)
+        self.release(pick)
+        self.run_on(19)
+
+    def _pick(self, pick: int) -> _Member:
+        members = list(self.members.values())
+        return members[pick % len(members)]
+
+    def _actors(self, item: str) -> list[str]:
+        return [
+            member.name
+            for member in self.members.values()
+            if not member.is_paused and member.may_act(item, self.now)
+        ]
+
+    def _step(self, member: _Member) -> None:
+        """Run a member's timers: pause check, log, gossip, proposal."""
+        now = self.now
+        member.pause_s = max(member.pause_s, now - member.last_tick)
+        member.last_tick = now
+        peers = [
+            peer
+            for peer in self.members.values()
+            if peer is not member
+            and not peer.is_paused
+            and self.group[peer.name] == self.group[member.name]
+        ]
+        for peer in peers:
+            member.seen_at[peer.name] = now
+            member.take_in(self.log[: peer.offset + 1], now)
+        if member.has_log:
+            member.take_in(self.log, now)
+            member.read_at = now
+            member.members_at_read = len(member.members(now))
+        if member.has_log or member.pause_s <= FENCE.max_pause_s:
+            member.pause_s = 0.0
+        if member.has_log and not member.is_released:
+            self._propose(member)
+
+    def _propose(self, member: _Member) -> None:
+        now = self.now
+        live = member.members(now)
+        view = DomainView(
+            'd',
+            frozenset(live),
+            {
+                name: now - member.seen_at.get(name, 0.0) - DETECTION_S
+                for name in self.members
+                if name not in live
+            },
+            known=len(self.members),
+        )
+        change = propose(
+            member.name,
+            member.state.roster('d'),
+            view,
+            limit=3,
+            takeover_after_s=TAKEOVER_S,
+        )
+        if change is not None and now > 2:
+            self.log.append(change)
+
+
+TestFenceMachine = FenceMachine.TestCase
+TestFenceMachine.settings = settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=200,
+    stateful_step_count=25,
+)
+
+
+def test_dead_holder_is_replaced_by_the_first_live_member() -> None:
+    """Guards against proposals by several members or by a minority."""
+    roster = Roster(4, ('a', 'b', 'c'))
+    live = frozenset('bcd')
+    view = DomainView('d', live, {'a': 61.0}, known=4)
+    options = {'limit': 3, 'takeover_after_s': 60.0}
+    change = propose('b', roster, view, **options)
+    assert change == RosterChange('d', 4, ('b', 'c', 'd'))
+    assert propose('c', roster, view, **options) is None
+    early = DomainView('d', live, {'a': 59.0}, known=4)
+    assert propose('b', roster, early, **options) is None
+    minority = DomainView('d', live, {'a': 61.0}, known=6)
+    assert propose('b', roster, minority, **options) is None
+
+
+def test_first_roster_starts_at_once_and_released_items_too() -> None:
+    """Guards against needless delays."""
+    tenures = {n: Tenure(n, 0.0, delay_s=25.0, keep_s=900) for n in 'ab'}
+    for tenure in tenures.values():
+        tenure.change(1.0, ('a', 'b'))
+    items = [str(n) for n in range(20)]
+    for item in items:
+        holder = holder_of(item, 'ab')
+        assert tenures[holder].since(item) == 0.0
+    tenures['b'].change(9.0, ('b',), ('a',))
+    moved = [item for item in items if holder_of(item, 'ab') == 'a']
+    assert {tenures['b'].since(item) for item in moved} == {9.0}
+
+
+def test_a_removed_holder_moves_only_its_own_items() -> None:
+    """Guards against a hash that moves items between those that stay."""
+    holders = ('a', 'b', 'c', 'd')
+    for item, gone in itertools.product(map(str, range(50)), holders):
+        before = holder_of(item, holders)
+        after = holder_of(item, [h for h in holders if h != gone])
+        assert before in (after, gone)
+
+
+def test_two_of_two_act_and_one_of_two_stops_without_the_log() -> None:
+    """Guards against small domains that stop while the log is down."""
+    base = {'pause_s': 0.0, 'epoch': 1, 'epoch_heard': 1}
+    for now, at_read, state in ((1, 1, 'clear'), (2, 2, 'clear')):
+        view = FenceView(99.0, now, at_read, **base)
+        assert FENCE.check(view) == state
+    assert FENCE.check(FenceView(99.0, 1, 2, **base)) == 'cut-off'
+    assert FENCE.check(FenceView(19.0, 1, 2, **base)) == 'clear'
--- /dev/null
+++ b/tests/daemon/test_roster_service.py
@@ -0,0 +1,131 @@
+"""The fence of a running daemon, with a clock and log set by the test."""
+
+import asyncio
+import random
+from typing import Any
+from unittest import mock
+
+from turmericrouter_client.log_service import LogPage
+from turmericrouter_core.control import RosterChange
+from turmericrouter_core.errors import LinkLostError
+from turmericrouter_core.errors import LogServiceError
+from turmericrouter_core.messages import RosterEpoch
+from turmericrouter_daemon.roster_service import RosterService
+from turmericrouter_daemon.settings import HostSettings
+from turmericrouter_daemon.settings import PlatformSettings
+from turmericrouter_daemon.settings import Settings
+
+OWN = '127.0.0.1:2'
+ITEM = 'item'
+
+
+class _World:
+    """A roster service and what it depends on."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+        settings = Settings(
+            HostSettings('127.0.0.1', 'north', 1, 2, 3, 4),
+            PlatformSettings('http://127.0.0.1'),
+        )
+        runtime: Any = mock.Mock(
+            settings=settings, address=OWN, rng=random.Random(1)
+        )
+        runtime.clock.monotonic = lambda: self.now
+        self.config: Any = mock.Mock(log_age_s=0.0)
+        directory: Any = mock.Mock()
+        directory.directory = []
+        self.log: Any = mock.AsyncMock()
+        self.log.read.side_effect = LogServiceError('down')
+        self.peers: Any = mock.AsyncMock()
+        self.peers.request.side_effect = LinkLostError('lost')
+        self.service = RosterService(
+            runtime, self.config, directory, self.peers, self.log
+        )
+
+    async def start(self) -> None:
+        await self.service.start()
+        self.service.apply(4, RosterChange('north', -1, (OWN,)))
+        await self.tick(0.25)
+
+    async def tick(self, passed_s: float) -> None:
+        self.now += passed_s
+        self.service._tick()
+        self.service._watch()
+        for _ in range(5):
+            await asyncio.sleep(0)
+
+    @property
+    def acts(self) -> bool:
+        return self.service.since('north', ITEM) is not None
+
+
+def test_paused_holder_stops_until_it_has_asked_the_log() -> None:
+    """Guards against a holder that acts on what it knew before a pause."""
+
+    async def check() -> None:
+        world = _World()
+        await world.start()
+        assert world.acts
+        world.now += 5.1
+        assert not world.acts, 'even before the first timer runs'
+        await world.tick(0.0)
+        assert not world.acts
+        world.log.read.side_effect = None
+        world.log.read.return_value = LogPage(0, 4, ())
+        await world.tick(0.25)
+        await world.tick(0.25)
+        assert world.acts
+
+    asyncio.run(check())
+
+
+def test_newer_epoch_stops_a_holder_until_the_roster_is_read() -> None:
+    """Guards against a replaced holder that goes on."""
+
+    async def check() -> None:
+        world = _World()
+        await world.start()
+        world.service.hear('north', 9)
+        assert not world.acts
+        world.service.apply(9, RosterChange('north', 4, (OWN, 'other')))
+        assert world.service.fence_state == 'clear'
+
+    asyncio.run(check())
+
+
+def test_peer_with_another_epoch_does_not_clear_a_pause() -> None:
+    """Guards against a peer that is behind."""
+
+    async def check() -> None:
+        world = _World()
+        await world.start()
+        world.service._members |= {'127.0.0.9:2'}
+        world.peers.request.side_effect = [RosterEpoch(3), RosterEpoch(4)]
+        world.now += 6.0
+        for expected in (False, True):
+            world.service._tick()
+            for _ in range(5):
+                await asyncio.sleep(0)
+            assert world.acts is expected
+
+    asyncio.run(check())
+
+
+def test_released_holder_stops_at_once_and_says_so() -> None:
+    """Guards against grants after a release."""
+
+    async def check() -> None:
+        world = _World()
+        await world.start()
+
+        async def append(stream: str, payload: bytes) -> int:
+            assert not world.acts
+            world.service.apply(7, RosterChange('north', 4, (), (OWN,)))
+            return 7
+
+        world.log.append = append
+        await world.service.release()
+        assert world.service.roster('north').holders == ()
+
+    asyncio.run(check())
--- a/tests/system/test_single_execution.py
+++ b/tests/system/test_single_execution.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import collections
+from collections.abc import Coroutine
 import pathlib
 import random
+import signal
 import time
+from typing import Any
 
 import aiohttp
 
@@ -28,10 +31,10 @@
     'route/status': Route('works', '/status'),
     'route/deposit': Route('works', '/deposit', idempotent=False),
 }
-WORKERS = 24
-OPERATIONS_PER_WORKER = 100
+WORKERS = 40
+OPERATIONS_AFTER_FAULTS = 5
 ATTEMPTS = 8
-KILLS = 8
+KILLS = 16
 
 
 def _mint(rng: random.Random) -> str:
@@ -87,10 +90,20 @@
         self._fleet = fleet
         self.told: dict[str, str] = {}
 
-    async def work(self, seed: int) -> None:
+    async def run(self, faults: Coroutine[Any, Any, None]) -> None:
+        """Send operations while faults go on and a little longer."""
+        task = asyncio.create_task(faults)
+        await asyncio.gather(
+            task, *(self._work(seed, task) for seed in range(WORKERS))
+        )
+
+    async def _work(self, seed: int, faults: 'asyncio.Task[None]') -> None:
         rng = random.Random(seed)
-        for _ in range(OPERATIONS_PER_WORKER):
+        left = OPERATIONS_AFTER_FAULTS
+        while left:
+            left -= faults.done()
             await self._operate(_mint(rng), rng)
+            await asyncio.sleep(rng.uniform(0.0, 0.02))
 
     async def _operate(self, text: str, rng: random.Random) -> None:
         for _ in range(ATTEMPTS):
@@ -125,12 +138,14 @@
         await fleet.wait_served('/status/1', key=KEY)
         await _wait_homes(fleet)
         load = _Load(fleet)
-        await asyncio.gather(
-            _kill_daemons(fleet), *(load.work(seed) for seed in range(WORKERS))
-        )
+        await load.run(_kill_daemons(fleet))
         await asyncio.sleep(1.0)
         runs = await _runs(fleet)
-    told = load.told
+    _check_told(load.told, runs)
+
+
+def _check_told(told: dict[str, str], runs: collections.Counter[str]) -> None:
+    """Compare what callers were told last with the targets' ledgers."""
     twice = {text: n for text, n in runs.items() if n > 1}
     assert twice == {}
     wrong = [t for t, v in told.items() if v == 'not-run' and runs[t]]
@@ -176,3 +191,36 @@
 def test_resends_get_one_answer(tmp_path: pathlib.Path) -> None:
     """Guards against concurrent resends that run or answer differently."""
     asyncio.run(_check_resends(tmp_path))
+
+
+async def _restart_gracefully(fleet: Fleet) -> None:
+    """Stop and start daemons in turn; each stop and start moves homes."""
+    for host in fleet.hosts[:3]:
+        await asyncio.sleep(1.0)
+        host.daemon.send_signal(signal.SIGTERM)
+        await host.daemon.wait(30.0)
+        host.daemon.start()
+
+
+async def _check_moves(directory: pathlib.Path) -> None:
+    spec = ServiceSpec('works', per_domain=2, work_ms=2.0)
+    # A short start delay, so that homes move back within the test.
+    delays = {'quota': {'fence_after_s': 1.0, 'max_pause_s': 0.5}}
+    async with Fleet(directory, DOMAINS, [spec], settings=delays) as fleet:
+        await fleet.publish(VALUES)
+        await fleet.wait_served('/status/1', key=KEY)
+        await _wait_homes(fleet)
+        load = _Load(fleet)
+        await load.run(_restart_gracefully(fleet))
+        await _wait_homes(fleet)
+        runs = await _runs(fleet)
+    text = (directory / 'daemon-works-south-1.log').read_text()
+    assert text.count('roster_changed') >= 3
+    _check_told(load.told, runs)
+
+
+def test_no_operation_runs_twice_while_homes_move(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a home that takes over ids the former one started."""
+    asyncio.run(_check_moves(tmp_path))
