Let a former holder confirm that it has stopped

Cause: each change of a roster left the moved slices and ids without a holder for fence_after_s + max_pause_s (25 s), also while a fleet starts.

Ruled out: a shorter delay, which the fence does not allow; changing the record so that the former holder releases each item.

Before and after: before, a new holder always waited 25 s unless the former one had released itself; after, tests/core/test_roster.py shows that it begins when the former one confirms, and the state machine finds no two holders that act, with and without confirmations (6 passed).

Conclusion: only holders that cannot be asked are waited for.

--- a/packages/core/src/turmericrouter_core/roster.py
+++ b/packages/core/src/turmericrouter_core/roster.py
@@ -192,21 +192,30 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Change:
-    """A roster change as this process has learnt it."""
+    """A roster change as this process has learnt it.
 
+    Args:
+        epoch: Epoch of the new roster.
+        before: Former holders.
+        after: New holders.
+        read_at: Monotonic seconds when the change was read.
+        stopped_at: Since when a former holder is known to have stopped.
+    """
+
+    epoch: int
     before: tuple[str, ...]
     after: tuple[str, ...]
-    released: tuple[str, ...]
     read_at: float
+    stopped_at: dict[str, float]
 
 
 class Tenure:
     """Tells since when this daemon holds an item of its domain.
 
     An item that moves between holders is not touched by the new one before
-    the former one has certainly stopped: at once if the former one released
-    itself, else after the start delay. The very first roster of a domain
-    has no former holders.
+    the former one has certainly stopped: when it has released itself or
+    confirmed a roster at least as new, else after the start delay. The very
+    first roster of a domain has no former holders.
 
     Args:
         own: Address of this daemon.
@@ -228,6 +237,7 @@
     def change(
         self,
         now: float,
+        epoch: int,
         holders: tuple[str, ...],
         released: tuple[str, ...] = (),
     ) -> None:
@@ -235,17 +245,38 @@
 
         Args:
             now: Monotonic seconds.
+            epoch: Epoch of the roster.
             holders: Holders from now on.
             released: Former holders that had stopped before the change.
         """
         oldest = now - self._keep_s - self._delay_s
         self._changes = [c for c in self._changes if c.read_at >= oldest]
         if self._holders:
+            stopped_at = dict.fromkeys(released, now)
             self._changes.append(
-                _Change(self._holders, holders, released, now)
+                _Change(epoch, self._holders, holders, now, stopped_at)
             )
         self._holders = holders
 
+    def unconfirmed(self, now: float) -> frozenset[str]:
+        """Return former holders that may still act on moved items."""
+        return frozenset(
+            holder
+            for change in self._changes
+            if now < change.read_at + self._delay_s
+            for holder in change.before
+            if holder != self._own and holder not in change.stopped_at
+        )
+
+    def confirm(self, now: float, holder: str, epoch: int) -> None:
+        """Take in that a holder follows a roster of some epoch.
+
+        It does not act on items that moved away from it up to this epoch.
+        """
+        for change in self._changes:
+            if change.epoch <= epoch:
+                change.stopped_at.setdefault(holder, now)
+
     def since(self, item: str) -> float | None:
         """Return the monotonic second from which the item is held here.
 
@@ -258,7 +289,7 @@
             before = holder_of(item, change.before)
             if before == holder_of(item, change.after):
                 continue
-            is_released = before in change.released
-            delay_s = 0.0 if is_released else self._delay_s
-            begin = max(begin, change.read_at + delay_s)
+            expected = change.read_at + self._delay_s
+            stopped_at = change.stopped_at.get(before, expected)
+            begin = max(begin, min(stopped_at, expected))
         return begin
--- a/packages/daemon/src/turmericrouter_daemon/roster_service.py
+++ b/packages/daemon/src/turmericrouter_daemon/roster_service.py
@@ -78,7 +78,7 @@
         self._state = RosterState()
         self._tenure: Tenure | None = None
         # Own roster's changes that came before the tenure was set up.
-        self._pending: list[RosterChange] = []
+        self._pending: list[tuple[int, RosterChange]] = []
         self._epochs_heard: dict[str, int] = {}
         self._last_tick = 0.0
         self._pause_s = 0.0
@@ -128,8 +128,8 @@
             delay_s=self._fence.start_delay_s,
             keep_s=settings.operation.retention_s,
         )
-        for change in self._pending:
-            tenure.change(now, change.holders, change.released)
+        for offset, change in self._pending:
+            tenure.change(now, offset, change.holders, change.released)
         self._pending.clear()
         self._tenure = tenure
         self._runtime.timers.every(_TICK_S, self._tick, name='pause')
@@ -214,10 +214,11 @@
             return
         self._changed.set()
         if self._tenure is None:
-            self._pending.append(change)
+            self._pending.append((offset, change))
         else:
             self._tenure.change(
                 self._runtime.clock.monotonic(),
+                offset,
                 change.holders,
                 change.released,
             )
@@ -234,6 +235,8 @@
             self._start('refresh', self._refresh)
         else:
             self._pause_s = 0.0
+        if self._tenure is not None and self._tenure.unconfirmed(now):
+            self._start('confirm', self._confirm)
 
     def _start(self, name: str, work: Work) -> None:
         """Run work in a task unless the last one of the name still runs."""
@@ -315,6 +318,25 @@
             self._pause_s = 0.0
             self._runtime.log.info('holder_refreshed')
 
+    async def _confirm(self) -> None:
+        """Ask former holders whether they know that they are replaced.
+
+        One that does has stopped, so its successor need not wait.
+        """
+        assert self._tenure is not None
+        now = self._runtime.clock.monotonic()
+        await asyncio.gather(
+            *(self._confirm_one(h) for h in self._tenure.unconfirmed(now))
+        )
+
+    async def _confirm_one(self, holder: str) -> None:
+        assert self._tenure is not None
+        epoch = await self._ask_epoch(holder)
+        if epoch is not None:
+            self._tenure.confirm(
+                self._runtime.clock.monotonic(), holder, epoch
+            )
+
     async def _read_log(self) -> bool:
         after = self.roster(self._domain).epoch
         while True:
@@ -339,14 +361,18 @@
         others = sorted(self._members - {self._own})
         if not others:
             return False
+        epoch = await self._ask_epoch(self._runtime.rng.choice(others))
+        return epoch == self.roster(self._domain).epoch
+
+    async def _ask_epoch(self, address: str) -> int | None:
         try:
             reply = await self._peers.request(
-                self._runtime.rng.choice(others),
+                address,
                 RosterQuery(self._domain),
                 RosterEpoch,
                 timeout_s=_QUERY_TIMEOUT_S,
             )
         except LinkError:
-            return False
+            return None
         self.hear(self._domain, reply.epoch)
-        return reply.epoch == self.roster(self._domain).epoch
+        return reply.epoch
--- a/tests/core/test_roster.py
+++ b/tests/core/test_roster.py
@@ -56,7 +56,9 @@
             change = log[offset]
             if self.state.apply(offset, change):
                 self.heard = max(self.heard, offset)
-                self.tenure.change(now, change.holders, change.released)
+                self.tenure.change(
+                    now, offset, change.holders, change.released
+                )
 
     def may_act(self, item: str, now: float) -> bool:
         since = self.tenure.since(item)
@@ -80,9 +82,10 @@
     member that runs whether it would act, at every step.
     """
 
-    @initialize(size=st.integers(1, 5))
-    def begin_world(self, size: int) -> None:
+    @initialize(size=st.integers(1, 5), asks=st.booleans())
+    def begin_world(self, size: int, asks: bool) -> None:
         self.now = 0.0
+        self.asks = asks
         self.log: list[RosterChange] = []
         self.members = {f'm{n}': _Member(f'm{n}', 0.0) for n in range(size)}
         self.group = dict.fromkeys(self.members, 0)
@@ -174,6 +177,10 @@
         for peer in peers:
             member.seen_at[peer.name] = now
             member.take_in(self.log[: peer.offset + 1], now)
+            if self.asks:
+                epoch = peer.state.roster('d').epoch
+                member.heard = max(member.heard, epoch)
+                member.tenure.confirm(now, peer.name, epoch)
         if member.has_log:
             member.take_in(self.log, now)
             member.read_at = now
@@ -235,16 +242,30 @@
     """Guards against needless delays."""
     tenures = {n: Tenure(n, 0.0, delay_s=25.0, keep_s=900) for n in 'ab'}
     for tenure in tenures.values():
-        tenure.change(1.0, ('a', 'b'))
+        tenure.change(1.0, 0, ('a', 'b'))
     items = [str(n) for n in range(20)]
     for item in items:
         holder = holder_of(item, 'ab')
         assert tenures[holder].since(item) == 0.0
-    tenures['b'].change(9.0, ('b',), ('a',))
+    tenures['b'].change(9.0, 1, ('b',), ('a',))
     moved = [item for item in items if holder_of(item, 'ab') == 'a']
     assert {tenures['b'].since(item) for item in moved} == {9.0}
 
 
+def test_former_holder_that_confirms_is_not_waited_for() -> None:
+    """Guards against a long gap, and against an old confirmation."""
+    tenure = Tenure('b', 0.0, delay_s=25.0, keep_s=900)
+    tenure.change(1.0, 4, ('a',))
+    tenure.change(9.0, 6, ('a', 'b'))
+    item = next(n for n in map(str, range(50)) if holder_of(n, 'ab') == 'b')
+    tenure.confirm(10.0, 'a', 5)
+    assert tenure.unconfirmed(10.0) == {'a'}
+    assert tenure.since(item) == 34.0
+    tenure.confirm(11.0, 'a', 6)
+    assert tenure.unconfirmed(11.0) == frozenset()
+    assert tenure.since(item) == 11.0
+
+
 def test_a_removed_holder_moves_only_its_own_items() -> None:
     """Guards against a hash that moves items between those that stay."""
     holders = ('a', 'b', 'c', 'd')
