--- a/packages/core/src/turmericrouter_core/roster.py
+++ b/packages/core/src/turmericrouter_core/roster.py
@@ -11,6 +11,7 @@
 from turmericrouter_core.control import RosterChange
 
 NO_EPOCH = -1
+_UNKNOWN_HOLDER = '?'
 
 
 class Roster(msgspec.Struct, frozen=True, array_like=True):
@@ -258,6 +259,16 @@
             )
         self._holders = holders
 
+    def restore(
+        self, now: float, epoch: int, holders: tuple[str, ...]
+    ) -> None:
+        """Take in a roster without the changes that led to it.
+
+        Whoever held an item before is unknown, so every item waits.
+        """
+        self._holders = (_UNKNOWN_HOLDER,)
+        self.change(now, epoch, holders)
+
     def unconfirmed(self, now: float) -> frozenset[str]:
         """Return former holders that may still act on moved items."""
         return frozenset(
@@ -265,7 +276,8 @@
             for change in self._changes
             if now < change.read_at + self._delay_s
             for holder in change.before
-            if holder != self._own and holder not in change.stopped_at
+            if holder not in (self._own, _UNKNOWN_HOLDER)
+            and holder not in change.stopped_at
         )
 
     def confirm(self, now: float, holder: str, epoch: int) -> None:
--- a/packages/daemon/src/turmericrouter_daemon/roster_service.py
+++ b/packages/daemon/src/turmericrouter_daemon/roster_service.py
@@ -8,6 +8,7 @@
 
 from turmericrouter_client.log_service import LogService
 from turmericrouter_core.config import CONTROL_STREAM
+from turmericrouter_core.control import ControlRecord
 from turmericrouter_core.control import decode_control
 from turmericrouter_core.control import encode_control
 from turmericrouter_core.control import RosterChange
@@ -37,6 +38,9 @@
 
 _TICK_S = 0.25
 _WATCH_S = 0.5
+# Word of a read that comes later may follow a cut, when members that were
+# seen at the read are found dead already; detection takes longer than this.
+_FRESH_S = 3.0
 # Members that start together are found one by one; a roster of the first few
 # would have to be changed at once, and each change costs a start delay.
 _SETTLE_S = 1.0
@@ -79,6 +83,7 @@
         self._tenure: Tenure | None = None
         # Own roster's changes that came before the tenure was set up.
         self._pending: list[tuple[int, RosterChange]] = []
+        self._was_restored = False
         self._epochs_heard: dict[str, int] = {}
         self._last_tick = 0.0
         self._pause_s = 0.0
@@ -95,7 +100,8 @@
         self._changed = asyncio.Event()
         self._last_fence = FenceState.CLEAR
         self._tasks: dict[str, asyncio.Task[None]] = {}
-        config.on_roster(self.apply)
+        config.on_control(self._on_control)
+        config.on_rosters(self._on_rosters)
 
     @property
     def fence_state(self) -> FenceState:
@@ -128,6 +134,10 @@
             delay_s=self._fence.start_delay_s,
             keep_s=settings.operation.retention_s,
         )
+        if self._was_restored:
+            roster = self.roster(self._domain)
+            tenure.restore(now, roster.epoch, roster.holders)
+            self._pending.clear()
         for offset, change in self._pending:
             tenure.change(now, offset, change.holders, change.released)
         self._pending.clear()
@@ -223,6 +233,25 @@
                 change.released,
             )
 
+    def _on_control(self, offset: int, record: ControlRecord) -> None:
+        if isinstance(record, RosterChange):
+            self.apply(offset, record)
+
+    def _on_rosters(self) -> None:
+        """Take over rosters that came in a snapshot."""
+        changed = self._state.restore(self._config.rosters.snapshot())
+        for domain in changed:
+            self.hear(domain, self.roster(domain).epoch)
+        if self._domain not in changed:
+            return
+        self._changed.set()
+        self._was_restored = True
+        if self._tenure is not None:
+            roster = self.roster(self._domain)
+            self._tenure.restore(
+                self._runtime.clock.monotonic(), roster.epoch, roster.holders
+            )
+
     def handle_query(self, message: RosterQuery, sender: Hello) -> RosterEpoch:
         """Reply to a peer that was paused."""
         return RosterEpoch(self.roster(message.domain).epoch)
@@ -258,7 +287,7 @@
         seen = {e.address for e in members if e.mark != Mark.DEAD}
         self._members = frozenset(seen | {self._own})
         log_age_s = self._config.log_age_s
-        if log_age_s < self._last_log_age_s:
+        if log_age_s < min(self._last_log_age_s, _FRESH_S):
             self._members_at_read = len(self._members)
         self._last_log_age_s = log_age_s
         live = frozenset(
@@ -346,6 +375,9 @@
                 )
             except LogServiceError:
                 return False
+            if page.first > after + 1:
+                # Changes may be gone from the log.
+                return False
             if not page.records:
                 return True
             for record in page.records:
