--- a/packages/daemon/src/turmericrouter_daemon/application.py
+++ b/packages/daemon/src/turmericrouter_daemon/application.py
@@ -11,11 +11,14 @@
 from turmericrouter_client.log_service import LogClient
 from turmericrouter_core.directory import Directory
 from turmericrouter_core.errors import SettingsError
+from turmericrouter_core.messages import AbortOperation
+from turmericrouter_core.messages import BeginOperation
 from turmericrouter_core.messages import CrashMarks
 from turmericrouter_core.messages import Dispatch
-from turmericrouter_core.verdict import Refusal
-from turmericrouter_daemon.call import Answer
-from turmericrouter_daemon.call import Call
+from turmericrouter_core.messages import DrawTokens
+from turmericrouter_core.messages import FinishOperation
+from turmericrouter_core.messages import ReturnTokens
+from turmericrouter_core.messages import RosterQuery
 from turmericrouter_daemon.config_sync import ConfigSync
 from turmericrouter_daemon.decisions import DecisionLog
 from turmericrouter_daemon.directory_sync import DirectorySync
@@ -28,10 +31,13 @@
 from turmericrouter_daemon.logs import open_log
 from turmericrouter_daemon.membership_service import MembershipService
 from turmericrouter_daemon.metrics import open_metrics
+from turmericrouter_daemon.operation_service import OperationService
 from turmericrouter_daemon.peer import MessageRouter
 from turmericrouter_daemon.peer import PeerPool
 from turmericrouter_daemon.peer import PeerServer
 from turmericrouter_daemon.quarantine_service import QuarantineService
+from turmericrouter_daemon.quota_service import QuotaService
+from turmericrouter_daemon.roster_service import RosterService
 from turmericrouter_daemon.runtime import Runtime
 from turmericrouter_daemon.settings import Settings
 from turmericrouter_daemon.timers import SystemClock
@@ -56,26 +62,6 @@
         """Stop."""
 
 
-class _NoQuota:
-    """Grants every token; replaced by the quota service."""
-
-    async def acquire(self, workspace: str) -> Refusal | None:
-        return None
-
-    def give_back(self, workspace: str) -> None:
-        return
-
-
-class _NoOperations:
-    """Starts every operation; replaced by the operation service."""
-
-    async def begin(self, call: Call) -> Answer | int:
-        return 0
-
-    async def finish(self, call: Call, nonce: int, answer: Answer) -> None:
-        return
-
-
 class Application:
     """Builds all parts and runs them until a signal comes.
 
@@ -117,14 +103,27 @@
         self._quarantine = QuarantineService(runtime, directory, self._peers)
         self._gate = Gate(runtime, self._config, self._quarantine)
         self._peer_server = PeerServer(runtime, router, self._tls)
+        self._rosters = RosterService(
+            runtime,
+            self._config,
+            self._directory,
+            self._peers,
+            self._log_client,
+        )
+        self._operations = OperationService(
+            runtime, self._config, self._peers, self._rosters
+        )
+        self._quota = QuotaService(
+            runtime, self._config, self._peers, self._rosters
+        )
         self._dispatcher = dispatcher = Dispatcher(
             runtime,
             self._config,
             self._directory.directory,
             self._gate,
             self._peers,
-            _NoQuota(),
-            _NoOperations(),
+            self._quota,
+            self._operations,
             self._quarantine,
         )
         self._entry = Entry(runtime, self._config, dispatcher, self._tls)
@@ -134,6 +133,12 @@
         router.register(Dispatch, self._gate.handle)
         self._admin = self._make_admin()
         router.register(CrashMarks, self._quarantine.handle)
+        router.register(DrawTokens, self._quota.handle_draw)
+        router.register(ReturnTokens, self._quota.handle_return)
+        router.register(RosterQuery, self._rosters.handle_query)
+        router.register(BeginOperation, self._operations.handle_begin)
+        router.register(FinishOperation, self._operations.handle_finish)
+        router.register(AbortOperation, self._operations.handle_abort)
 
     async def run(self) -> None:
         """Start, serve until a signal comes, and stop gracefully."""
@@ -145,6 +150,8 @@
     async def start(self) -> None:
         """Start all parts; callers are accepted last."""
         await self._peer_server.start()
+        await self._rosters.start()
+        await self._quota.start()
         await self._membership.start()
         await self._config.start()
         await self._directory.start()
@@ -168,7 +175,7 @@
         stop = self._settings.stop
         self._runtime.log.info('daemon_stopping')
         # The log may be down; peers also learn it from refusals.
-        announcing = asyncio.create_task(self._directory.leave())
+        announcing = asyncio.create_task(self._announce_leave())
         await asyncio.sleep(stop.announce_s)
         self._entry.leave()
         self._gate.leave()
@@ -176,6 +183,8 @@
         try:
             async with asyncio.timeout(stop.drain_s):
                 await self._entry.drained()
+                await self._dispatcher.drained()
+                await self._operations.drained()
                 await self._gate.drained()
         except TimeoutError:
             self._runtime.log.error(
@@ -189,11 +198,16 @@
         self._runtime.log.info('daemon_stopped')
         self._log_writer.close()
 
+    async def _announce_leave(self) -> None:
+        await self._directory.leave()
+        await self._rosters.release()
+
     async def _close(self, timeout_s: float) -> None:
         """Close listeners and links after the last answers have left."""
         await self._entry.stop(timeout_s)
         await self._local.stop()
         await self._quarantine.stop()
+        await self._rosters.stop()
         await self._directory.stop()
         await self._membership.stop()
         await self._gossip.stop()
