Wire quota view, lost targets and the operations page together

Ruled out: a quota row type of its own in the admin client's place, which would load grpc into every daemon.

--- a/packages/core/src/turmericrouter_core/quota.py
+++ b/packages/core/src/turmericrouter_core/quota.py
@@ -129,6 +129,11 @@
             collections.OrderedDict()
         )
 
+    def level(self, now: float) -> float:
+        """Return the tokens that can be granted now."""
+        self._fill(now)
+        return self._level
+
     def set_share(self, share: SliceShare, now: float) -> None:
         """Change rate and burst; what is above the new depth is lost.
 
--- a/packages/daemon/src/turmericrouter_daemon/admin.py
+++ b/packages/daemon/src/turmericrouter_daemon/admin.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
+import dataclasses
 import pathlib
 from typing import Any
 from typing import Protocol
@@ -41,6 +42,7 @@
 from turmericrouter_daemon.config_sync import ConfigSync
 from turmericrouter_daemon.directory_sync import DirectorySync
 from turmericrouter_daemon.gate import Gate
+from turmericrouter_daemon.quota_service import QuotaUse
 from turmericrouter_daemon.runtime import Runtime
 
 _STOP_GRACE_S = 1.0
@@ -52,16 +54,8 @@
 class QuotaView(Protocol):
     """Quota as the quota service of this daemon knows it."""
 
-    def quota_rows(self) -> Sequence[QuotaRow]:
-        """Return a row for each workspace."""
-
-
-class NoQuotaView:
-    """Knows no quota; used until the quota service gives a view."""
-
-    def quota_rows(self) -> Sequence[QuotaRow]:
-        """Return no rows."""
-        return ()
+    def uses(self) -> Sequence[QuotaUse]:
+        """Return an item for each workspace."""
 
 
 class AdminHandlers:
@@ -125,7 +119,10 @@
 
     def quota(self, _: Nothing) -> QuotaReply:
         """Return the quota of all workspaces."""
-        return QuotaReply(tuple(self._quota.quota_rows()))
+        rows = (
+            QuotaRow(**dataclasses.asdict(use)) for use in self._quota.uses()
+        )
+        return QuotaReply(tuple(rows))
 
     def targets(self, _: Nothing) -> TargetsReply:
         """Return the directory."""
--- a/packages/daemon/src/turmericrouter_daemon/application.py
+++ b/packages/daemon/src/turmericrouter_daemon/application.py
@@ -27,6 +27,7 @@
 from turmericrouter_daemon.gate import Gate
 from turmericrouter_daemon.gossip import Gossip
 from turmericrouter_daemon.local import LocalListener
+from turmericrouter_daemon.local_target import TargetState
 from turmericrouter_daemon.logs import LogWriter
 from turmericrouter_daemon.logs import open_log
 from turmericrouter_daemon.membership_service import MembershipService
@@ -130,6 +131,7 @@
         self._local = LocalListener(
             runtime, self._config, self._gate, self._directory, dispatcher
         )
+        self._gate.on_target_state(self._on_target_state)
         router.register(Dispatch, self._gate.handle)
         self._admin = self._make_admin()
         router.register(CrashMarks, self._quarantine.handle)
@@ -223,17 +225,23 @@
         # grpc takes memory, which daemons without the listener save.
         from turmericrouter_daemon.admin import AdminHandlers
         from turmericrouter_daemon.admin import AdminServer
-        from turmericrouter_daemon.admin import NoQuotaView
 
         handlers = AdminHandlers(
             self._runtime,
             self._config,
             self._directory,
             self._gate,
-            NoQuotaView(),
+            self._quota,
         )
         return AdminServer(self._runtime, handlers)
 
+    def _on_target_state(self, state: TargetState) -> None:
+        # Announcements of the target update the entry themselves.
+        if state is TargetState.LOST:
+            self._runtime.timers.after(
+                0.0, self._directory.lose_target, name='target_lost'
+            )
+
     def _report_gauges(self) -> None:
         metrics, load = self._runtime.metrics, self._gate.load
         metrics.gauge('gate.in_flight', load.in_flight)
--- a/packages/daemon/src/turmericrouter_daemon/directory_sync.py
+++ b/packages/daemon/src/turmericrouter_daemon/directory_sync.py
@@ -175,6 +175,17 @@
                 msgspec.structs.replace(changed, version=own.version + 1)
             )
 
+    async def lose_target(self) -> None:
+        """Tell others that the target has not announced itself of late."""
+        own = self._own
+        await self.update(
+            MemberState.JOINING,
+            service=own.service,
+            target=own.target,
+            slots=own.slots,
+            connections=own.connections,
+        )
+
     async def leave(self) -> None:
         """Tell others that this daemon takes no new work."""
         self._is_leaving = True
--- a/packages/daemon/src/turmericrouter_daemon/dispatch.py
+++ b/packages/daemon/src/turmericrouter_daemon/dispatch.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Sequence
-import functools
 import random
 from typing import Protocol
 
@@ -256,7 +255,11 @@
                 latency_s=now - started_at,
                 load=outcome.load if outcome else None,
             )
-        self._log_attempt(call, choice, chosen, answer)
+        # Written after the answer is on its way to the caller: rendering
+        # the line takes about as long as all other work of the dispatcher.
+        asyncio.get_running_loop().call_soon(
+            self._log_attempt, call, choice, chosen, answer
+        )
         return answer
 
     async def _send(
@@ -305,21 +308,17 @@
         chosen: DirectoryEntry,
         answer: Answer,
     ) -> None:
-        # Written after the answer is on its way to the caller: rendering
-        # the line takes about as long as all other work of the dispatcher.
-        asyncio.get_running_loop().call_soon(
-            functools.partial(
-                self._runtime.decisions.record,
-                'request_routed',
-                request_id=call.request_id,
-                route=call.named_route.name,
-                target=chosen.target,
-                verdict=answer.verdict,
-                reason=answer.reason,
-                candidates=choice.candidates,
-                loads=choice.loads,
-                **_PROBE if choice.is_probe else {},
-            )
+        probe = _PROBE if choice.is_probe else {}
+        self._runtime.decisions.record(
+            'request_routed',
+            request_id=call.request_id,
+            route=call.named_route.name,
+            target=chosen.target,
+            verdict=answer.verdict,
+            reason=answer.reason,
+            candidates=choice.candidates,
+            loads=choice.loads,
+            **probe,
         )
 
     def _prune(self) -> None:
--- a/packages/daemon/src/turmericrouter_daemon/quota_service.py
+++ b/packages/daemon/src/turmericrouter_daemon/quota_service.py
@@ -70,6 +70,27 @@
     drawing: 'asyncio.Task[None] | None' = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaUse:
+    """Quota of a workspace as this daemon knows it.
+
+    Args:
+        workspace: Name of the workspace.
+        rate_per_s: Rate over the whole fleet.
+        burst: Burst over the whole fleet.
+        slices_held: Slices that this daemon holds.
+        tokens_held: Tokens in these slices now.
+        tokens_pooled: Tokens that this daemon's entry has drawn.
+    """
+
+    workspace: str
+    rate_per_s: float
+    burst: float
+    slices_held: int
+    tokens_held: float
+    tokens_pooled: int
+
+
 class QuotaService:
     """Tokens of workspaces, as entry and as holder.
 
@@ -135,6 +156,32 @@
         if batch is not None and demand is not None:
             demand.pool.give_back(batch)
 
+    def uses(self) -> list[QuotaUse]:
+        """Return the quota of all workspaces, for operators."""
+        return [self._use(name) for name in sorted(self._divisions)]
+
+    def _use(self, name: str) -> QuotaUse:
+        now = self._runtime.clock.monotonic()
+        quota = self._divisions[name].workspace
+        held = [
+            bucket.level(now)
+            for (workspace, index), (bucket, _) in self._slices.items()
+            if workspace == name and self._holds(name, index)
+        ]
+        demand = self._demands.get(name)
+        return QuotaUse(
+            name,
+            quota.rate_per_s,
+            quota.burst,
+            len(held),
+            sum(held),
+            demand.pool.available(now) if demand else 0,
+        )
+
+    def _holds(self, workspace: str, index: int) -> bool:
+        domain = self._slice_domain(index)
+        return self._rosters.since(domain, f'{workspace}/{index}') is not None
+
     def handle_draw(
         self, message: DrawTokens, sender: Hello | None
     ) -> TokensGranted:
--- a/packages/standins/src/turmericrouter_standins/target.py
+++ b/packages/standins/src/turmericrouter_standins/target.py
@@ -79,6 +79,7 @@
             'address': f'{options.host}:{options.port}',
             'slots': 0 if options.hide_slots else options.slots,
             'connections': options.connections,
+            'instance': f'{os.getpid()}-{self._started_at}',
             'leaving': self._leaving,
             'load': self._reported_load(),
         }
--- a/tests/daemon/test_operation_service.py
+++ b/tests/daemon/test_operation_service.py
@@ -24,6 +24,7 @@
 from turmericrouter_daemon.operation_service import OperationService
 from turmericrouter_daemon.settings import HostSettings
 from turmericrouter_daemon.settings import OperationSettings
+from turmericrouter_daemon.settings import OverloadSettings
 from turmericrouter_daemon.settings import PlatformSettings
 from turmericrouter_daemon.settings import Settings
 from turmericrouter_daemon.timers import SystemClock
@@ -180,6 +181,12 @@
     asyncio.run(check())
 
 
+def _dispatch_runtime() -> Any:
+    runtime = mock.Mock(rng=random.Random(1))
+    runtime.settings.overload = OverloadSettings()
+    return runtime
+
+
 def test_bookkeeping_ends_although_the_caller_disconnects() -> None:
     """Guards against a finish that is cancelled with its request."""
 
@@ -187,12 +194,14 @@
         operations: Any = mock.AsyncMock()
         operations.begin.return_value = 7
         dispatcher = Dispatcher(
-            mock.Mock(rng=random.Random(1)),
+            _dispatch_runtime(),
+            mock.Mock(),
             mock.Mock(),
             mock.Mock(),
             mock.Mock(),
             mock.AsyncMock(),
             operations,
+            mock.Mock(),
         )
         release = asyncio.Event()
 
@@ -227,12 +236,14 @@
         operations.begin = begin
         quota: Any = mock.AsyncMock()
         dispatcher = Dispatcher(
-            mock.Mock(rng=random.Random(1)),
+            _dispatch_runtime(),
+            mock.Mock(),
             mock.Mock(),
             mock.Mock(),
             mock.Mock(),
             quota,
             operations,
+            mock.Mock(),
         )
         request = asyncio.create_task(dispatcher.serve(_call()))
         await asyncio.sleep(0.01)
--- a/tests/system/test_request_path.py
+++ b/tests/system/test_request_path.py
@@ -61,3 +61,29 @@
     tmp_path: pathlib.Path,
 ) -> None:
     asyncio.run(_check_path(tmp_path))
+
+
+async def _check_cut(directory: pathlib.Path) -> None:
+    services = [ServiceSpec('design'), ServiceSpec('works')]
+    fleet = Fleet(directory, ['north', 'south'], services, links=True)
+    async with fleet:
+        await fleet.publish(VALUES)
+        await fleet.wait_served('/status/1')
+        await fleet.set_links(cuts=[('north', 'south')])
+        fleet.host('design-north-0').target.kill()
+        for name in ('works-north-0', 'works-south-0'):
+            reply = await fleet.call(
+                fleet.host(name),
+                '/status/1',
+                headers={'Turmeric-Timeout-Ms': '1000'},
+            )
+            if name.startswith('works-south'):
+                assert reply.status == 200
+            else:
+                assert reply.status >= 500
+        await fleet.set_links(delay_ms=5)
+        await fleet.wait_served('/status/1')
+
+
+def test_cut_domain_fails_alone_and_heals(tmp_path: pathlib.Path) -> None:
+    asyncio.run(_check_cut(tmp_path))
