Ask other domains for news early and wait for the first rosters in tests

Cause: the test of a cut-off domain failed in two ways. A domain of two daemons asked another domain so rarely that it became stale although the other one could reach the log. And the test cut the platform before the domain had its first holders, which cannot be had without the log.

Ruled out: unreachable slices of a domain with holders; the logs of the failing runs show that south never got a roster.

Conclusion: a domain that lacks news asks elsewhere; the tests wait for what the fleet needs first.

--- a/packages/daemon/src/turmericrouter_daemon/application.py
+++ b/packages/daemon/src/turmericrouter_daemon/application.py
@@ -151,6 +151,9 @@
 
     async def start(self) -> None:
         """Start all parts; callers are accepted last."""
+        self._runtime.log.info(
+            'daemon_starting', incarnation=self._runtime.incarnation
+        )
         await self._peer_server.start()
         await self._rosters.start()
         await self._quota.start()
--- a/packages/daemon/src/turmericrouter_daemon/config_sync.py
+++ b/packages/daemon/src/turmericrouter_daemon/config_sync.py
@@ -239,7 +239,10 @@
 
     async def pull(self) -> None:
         """Ask one random daemon for what is missing here."""
-        address = self._gossip.choose_or_seed()
+        stale_after_s = self._runtime.settings.config.stale_after_s
+        address = self._gossip.choose_or_seed(
+            elsewhere=self.log_age_s > stale_after_s / 4
+        )
         if address is None or self._is_pulling:
             return
         offsets = {name: r.offset for name, r in self._replicas.items()}
--- a/packages/daemon/src/turmericrouter_daemon/gossip.py
+++ b/packages/daemon/src/turmericrouter_daemon/gossip.py
@@ -16,6 +16,7 @@
 
 # One in this many choices is a daemon of another failure domain, so that a
 # domain cut off from the platform learns from the others.
+_ASKING_ELSEWHERE = 4
 _ELSEWHERE_EVERY = 5
 # Sent bytes and messages are reported together once in this time.
 _REPORT_PERIOD_S = 1.0
@@ -91,8 +92,21 @@
                 chosen.append(self._rng.choice(pool))
         return chosen
 
-    def choose_or_seed(self) -> str | None:
-        """Return a random daemon, or a seed if none is known."""
+    def choose_or_seed(self, *, elsewhere: bool = False) -> str | None:
+        """Return a random daemon, or a seed if none is known.
+
+        Args:
+            elsewhere: The own failure domain lacks news, so a few of its
+                daemons at a time ask another one.
+        """
+        if elsewhere:
+            own = self._runtime.settings.host.domain
+            share = _ASKING_ELSEWHERE / (len(self.members(own)) + 1)
+            others = [name for name in self._directory.domains if name != own]
+            if others and self._rng.random() < share:
+                members = self.members(self._rng.choice(others))
+                if members:
+                    return self._rng.choice(members)
         chosen = self.choose(1) or self.seeds
         return self._rng.choice(chosen) if chosen else None
 
--- a/packages/standins/src/turmericrouter_standins/fleet.py
+++ b/packages/standins/src/turmericrouter_standins/fleet.py
@@ -13,6 +13,7 @@
 import json
 import pathlib
 import random
+import re
 import socket
 import time
 from typing import Any
@@ -390,6 +391,25 @@
                     raise FleetError(f'{host.name} does not serve {path}')
                 await asyncio.sleep(_POLL_S)
 
+    async def wait_rosters(self) -> None:
+        """Wait until every daemon knows the holders of every domain.
+
+        Raises:
+            FleetError: A daemon does not in time.
+        """
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        for host in self.hosts:
+            for domain in self.domains:
+                wanted = re.compile(
+                    rf'event=roster_changed .*domain={domain} .*holders=\d'
+                )
+                while not wanted.search(host.daemon.output.read_text()):
+                    if time.monotonic() > deadline:
+                        raise FleetError(
+                            f'{host.name}: no holders in {domain}'
+                        )
+                    await asyncio.sleep(_POLL_S)
+
     def ledger(self, host: Host) -> list[LedgerEntry]:
         """Return what a target has started, over all its processes."""
         return list(read_ledger(self._ledger_path(host.name)))
--- a/packages/standins/src/turmericrouter_standins/invariants.py
+++ b/packages/standins/src/turmericrouter_standins/invariants.py
@@ -13,7 +13,7 @@
 from turmericrouter_standins.load import Attempt
 
 _APPLIED_OFFSET = re.compile(r'event=config_applied .*offset=(?P<offset>\d+)')
-_STARTED = 'event=daemon_started'
+_STARTING = 'event=daemon_starting'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -169,7 +169,7 @@
     for path in logs:
         last = -1
         for line in path.read_text(errors='replace').splitlines():
-            if _STARTED in line:
+            if _STARTING in line:
                 last = -1
             match = _APPLIED_OFFSET.search(line)
             if match and int(match['offset']) <= last:
--- a/packages/standins/src/turmericrouter_standins/load.py
+++ b/packages/standins/src/turmericrouter_standins/load.py
@@ -54,6 +54,8 @@
             long as `Retry-After` says.
         delay_s: One-way delay between callers and entries.
         timeout_s: Time that a caller waits for an answer.
+        tagged: Whether each attempt carries a mark of its own in the
+            query; without it a resend is the same request.
     """
 
     name: str
@@ -69,6 +71,7 @@
     retry_wait_s: float = 0.0
     delay_s: float = 0.0
     timeout_s: float = 10.0
+    tagged: bool = True
 
 
 class LoadSpec(msgspec.Struct, frozen=True):
@@ -214,9 +217,10 @@
         The attempt and the seconds to wait before another one.
     """
     entry = rng.choice(flow.entries)
-    tag = f'{rng.getrandbits(64):016x}'
-    joint = '&' if '?' in flow.path else '?'
-    url = f'{entry}{flow.path}{joint}tag={tag}&echo={tag}'
+    tag = f'{rng.getrandbits(64):016x}' if flow.tagged else ''
+    url = entry + flow.path
+    if tag:
+        url += f'{"&" if "?" in url else "?"}tag={tag}&echo={tag}'
     headers = {}
     if flow.key:
         headers['Authorization'] = f'Bearer {flow.key}'
--- a/packages/standins/src/turmericrouter_standins/soak.py
+++ b/packages/standins/src/turmericrouter_standins/soak.py
@@ -139,6 +139,7 @@
             await fleet.set_links(delay_ms=1.0)
             await fleet.publish(_configuration())
             await fleet.wait_served('/lookup/1', key=_KEYS['alpha'])
+            await fleet.wait_rosters()
             injector = FaultInjector(fleet, seed=self._seed)
             _, (_, attempts), _, _ = await asyncio.gather(
                 injector.run(self._seconds),
@@ -240,6 +241,7 @@
                 entries=tuple(host.entry_url for host in fleet.hosts),
                 key=_KEYS['beta'],
                 timeout_s=3.0,
+                tagged=False,
             )
             number += 1
             for attempt in range(_POISON_TRIES):
--- a/packages/standins/src/turmericrouter_standins/trial.py
+++ b/packages/standins/src/turmericrouter_standins/trial.py
@@ -146,6 +146,7 @@
         for kind in scenario.kinds:
             if kind.idempotent:
                 await fleet.wait_served(f'/{kind.name}?work_ms=1', key=key)
+        await fleet.wait_rosters()
         actions = asyncio.create_task(_act(fleet, events))
         started_at, attempts = await run_load(
             fleet, flows(fleet), seed=seed, processes=processes
--- a/tests/system/test_config.py
+++ b/tests/system/test_config.py
@@ -142,6 +142,8 @@
     async with fleet:
         await fleet.publish(VALUES)
         await fleet.wait_served('/strict', key=KEY)
+        # A domain cannot get its first holders without the log.
+        await fleet.wait_rosters()
         north, south = (fleet.in_domain(name) for name in DOMAINS)
         await fleet.set_links(cuts=[('south', 'platform')])
         await fleet.publish({'route/late': Route('design', '/late')})
--- a/tests/system/test_operator.py
+++ b/tests/system/test_operator.py
@@ -86,6 +86,7 @@
         for domain in DOMAINS:
             assert f'{domain}   yes' in published
         await fleet.set_log_faults(lose_answers=0.0)
+        await fleet.wait_rosters()
         await _check_keys(fleet, operator)
         await _check_conflict(operator)
         await _check_targets(fleet, operator)
@@ -142,7 +143,12 @@
     states = {row['target']: row['state'] for row in rows}
     assert states == {host.name: 'retired', fleet.hosts[1].name: 'serving'}
     await operator.run('target', 'unretire', host.name, '--wait=20')
-    status = json.loads(await operator.run('status', '--json'))
+    # The target's next announcement brings it back.
+    for _ in range(100):
+        status = json.loads(await operator.run('status', '--json'))
+        if status[0]['target_state'] == 'serving':
+            break
+        await asyncio.sleep(0.1)
     assert [row['target_state'] for row in status] == ['serving', 'serving']
     assert [row['domain'] for row in status] == DOMAINS
     assert not any(row['stale'] for row in status)
