Refuse for lack of quota only after a draw that grants nothing

Cause: requests that arrive together share a draw. A request was refused after two draws even if both had granted tokens that others took first, so a burst of 14 at a rate of 1,000/s and a burst of 1,000 could be refused.

Ruled out: empty buckets at the holder; a third draw was granted.

The test of a leaving target waits until that target has served, since entries prefer faster ones.

Conclusion: a wrongful refusal within the workspace's rate is gone.

--- a/packages/daemon/src/turmericrouter_daemon/quota_service.py
+++ b/packages/daemon/src/turmericrouter_daemon/quota_service.py
@@ -67,7 +67,7 @@
     # Monotonic second until which a slice is not asked.
     closed_until: dict[int, float] = dataclasses.field(default_factory=dict)
     unreachable: set[int] = dataclasses.field(default_factory=set)
-    drawing: 'asyncio.Task[None] | None' = None
+    drawing: 'asyncio.Task[int] | None' = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,13 +137,15 @@
             return None
         demand.waiting += 1
         try:
-            for _ in range(2):
-                self._draw_in_background(workspace, demand)
-                if demand.drawing is not None:
-                    # Requests that wait at the same time share one draw.
-                    await asyncio.shield(demand.drawing)
+            # Requests that wait at the same time share one draw. Tokens of
+            # a draw may go to later requests, so only a draw that grants
+            # nothing at all is the end.
+            while drawing := self._shared_draw(workspace, demand):
+                granted = await asyncio.shield(drawing)
                 if self._take(demand):
                     return None
+                if not granted:
+                    break
             return self._refusal(workspace, demand)
         finally:
             demand.waiting -= 1
@@ -309,12 +311,17 @@
         retry_after_s = max(0.0, min(waits, default=0.0))
         return Refusal(Reason.QUOTA_EXCEEDED, retry_after_s=retry_after_s)
 
-    def _draw_in_background(self, workspace: str, demand: _Demand) -> None:
-        if demand.drawing is not None and not demand.drawing.done():
-            return
-        demand.drawing = None
-        if self._open_slices(workspace, demand):
-            demand.drawing = self._spawn(self._draw_any(workspace, demand))
+    def _shared_draw(
+        self, workspace: str, demand: _Demand
+    ) -> 'asyncio.Task[int] | None':
+        """Return the draw that runs or a new one, none if all is empty."""
+        if demand.drawing is None or demand.drawing.done():
+            demand.drawing = None
+            if self._open_slices(workspace, demand):
+                demand.drawing = asyncio.create_task(
+                    self._draw_any(workspace, demand)
+                )
+        return demand.drawing
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> 'asyncio.Task[None]':
         task = asyncio.create_task(work)
@@ -345,13 +352,21 @@
         ]
         return sorted(open_slices, key=distance)
 
-    async def _draw_any(self, workspace: str, demand: _Demand) -> None:
-        """Draw until the expected demand is met or the slices are empty."""
+    async def _draw_any(self, workspace: str, demand: _Demand) -> int:
+        """Draw until the expected demand is met or the slices are empty.
+
+        Returns:
+            Tokens granted.
+        """
         wanted = self._wanted(demand)
+        granted = 0
         for index in self._open_slices(workspace, demand)[:_MAX_DRAWS]:
-            wanted -= await self._draw(workspace, demand, index, wanted)
-            if wanted <= 0:
-                return
+            granted += await self._draw(
+                workspace, demand, index, wanted - granted
+            )
+            if granted >= wanted:
+                break
+        return granted
 
     async def _draw(
         self, workspace: str, demand: _Demand, index: int, count: int
@@ -409,7 +424,7 @@
             self._return_unspent(workspace, demand, now)
             low = demand.per_s * self._lifetime_s / 4
             if low >= 1 and demand.pool.available(now) < low:
-                self._draw_in_background(workspace, demand)
+                self._shared_draw(workspace, demand)
 
     def _return_unspent(
         self, workspace: str, demand: _Demand, now: float
--- a/tests/system/test_membership.py
+++ b/tests/system/test_membership.py
@@ -117,6 +117,11 @@
     async with _fleet(directory) as fleet:
         await _wait_ready(fleet)
         leaving = fleet.hosts[0]
+        # Calls at the same time go to more than the fastest target.
+        while not fleet.ledger(leaving):
+            await asyncio.gather(
+                *(fleet.call(leaving, '/plots', key=KEY) for _ in range(8))
+            )
         async with fleet.session.put(
             f'{leaving.target_url}/_leave'
         ) as response:
