Keep small concurrency limits from being cut by a third

Cause: cutting off the fraction turned a cut by a tenth into one by a third for a target with three slots. The overload trial also warmed its routes with requests of 1 ms, so the gate took the usual 50 ms for congestion and shed at 0.7 of the capacity.

Ruled out: the admission level as the cause of shedding at 0.7; with the warm-up corrected nothing is shed there.

Conclusion: rounding matters for small limits only; larger ones keep the former rule, which the test of lying slots needs.

--- a/packages/core/src/turmericrouter_core/concurrency.py
+++ b/packages/core/src/turmericrouter_core/concurrency.py
@@ -17,6 +17,7 @@
 _BAD_SHARE = 0.1
 _MIN_SAMPLES = 5
 _STEPS_TO_MAXIMUM = 50
+_SMALL_LIMIT = 10
 _REFERENCE_WEIGHT = 0.05
 _LEARNING_SAMPLES = 20
 # After the limit was halved, latency caused by concurrency has fallen at
@@ -245,7 +246,10 @@
     def _set(self, value: float) -> None:
         lowest = min(self._settings.minimum, self._upper)
         self._value = min(max(value, lowest), float(self._upper))
-        self._whole = int(self._value)
+        # Cutting off the fraction would make a cut of a tenth one of a third
+        # for a target with three slots.
+        is_small = self._value < _SMALL_LIMIT
+        self._whole = round(self._value) if is_small else int(self._value)
 
     def _reset(self, now: float) -> None:
         self._window_end = now + self._settings.window_s
--- a/packages/standins/src/turmericrouter_standins/overload.py
+++ b/packages/standins/src/turmericrouter_standins/overload.py
@@ -14,7 +14,8 @@
 from turmericrouter_standins.trial import run_trial
 from turmericrouter_standins.trial import TrialResult
 
-BEFORE_S = 5.0
+# Longer than the cold start of targets.
+BEFORE_S = 10.0
 SURGE_S = 10.0
 AFTER_S = 15.0
 # The first part of a surge is left out of goodput: it is the reaction.
@@ -26,6 +27,7 @@
 CLIENT_RETRY_WAIT_S = 0.1
 RECOVERED_RATIO = 0.95
 _RECOVERY_WINDOW_S = 0.5
+_WARM_AFTER_S = 6.0
 _INTERVAL_S = 0.1
 
 
@@ -144,7 +146,8 @@
 
 
 def _recovery_s(result: TrialResult, names: set[str]) -> float | None:
-    before = result.served(names, 1.0, BEFORE_S) / (BEFORE_S - 1.0)
+    warm = _WARM_AFTER_S
+    before = result.served(names, warm, BEFORE_S) / (BEFORE_S - warm)
     surge_end = BEFORE_S + SURGE_S
     steps = int((AFTER_S - _RECOVERY_WINDOW_S) / _RECOVERY_WINDOW_S)
     for step in range(steps):
--- a/packages/standins/src/turmericrouter_standins/trial.py
+++ b/packages/standins/src/turmericrouter_standins/trial.py
@@ -145,7 +145,7 @@
         key = scenario.key(scenario.workspaces[0].name)
         for kind in scenario.kinds:
             if kind.idempotent:
-                await fleet.wait_served(f'/{kind.name}?work_ms=1', key=key)
+                await fleet.wait_served(f'/{kind.name}', key=key)
         await fleet.wait_rosters()
         actions = asyncio.create_task(_act(fleet, events))
         started_at, attempts = await run_load(
