--- a/packages/standins/src/turmericrouter_standins/control_cost.py
+++ b/packages/standins/src/turmericrouter_standins/control_cost.py
@@ -7,8 +7,8 @@
 
 from turmericrouter_core.config import Fleet as FleetRecord
 from turmericrouter_standins.fleet import Fleet
-from turmericrouter_standins.fleet import ServiceSpec
-from turmericrouter_standins.fleet import SettingsTree
+from turmericrouter_standins.host import ServiceSpec
+from turmericrouter_standins.host import SettingsTree
 
 _SETTLE_S = 15.0
 _MEASURE_S = 20.0
--- a/packages/standins/src/turmericrouter_standins/experiments.py
+++ b/packages/standins/src/turmericrouter_standins/experiments.py
@@ -18,7 +18,7 @@
 from turmericrouter_standins.fairness import measure_fairness
 from turmericrouter_standins.fleet import digest_scope
 from turmericrouter_standins.fleet import Fleet
-from turmericrouter_standins.fleet import ServiceSpec
+from turmericrouter_standins.host import ServiceSpec
 from turmericrouter_standins.latency import measure_added_latency
 from turmericrouter_standins.overload import measure_overload
 from turmericrouter_standins.propagation import CHANGES_PER_S
--- a/packages/standins/src/turmericrouter_standins/faults.py
+++ b/packages/standins/src/turmericrouter_standins/faults.py
@@ -22,7 +22,7 @@
 from turmericrouter_core.config import Route
 from turmericrouter_core.errors import LogServiceError
 from turmericrouter_standins.fleet import Fleet
-from turmericrouter_standins.fleet import Host
+from turmericrouter_standins.host import Host
 from turmericrouter_standins.invariants import Interval
 from turmericrouter_standins.process import FleetError
 
--- a/packages/standins/src/turmericrouter_standins/latency.py
+++ b/packages/standins/src/turmericrouter_standins/latency.py
@@ -12,10 +12,10 @@
 
 from hdrh.histogram import HdrHistogram
 
-from turmericrouter_standins.fleet import ENTRY_PORT
 from turmericrouter_standins.fleet import Fleet
-from turmericrouter_standins.fleet import Host
-from turmericrouter_standins.fleet import TARGET_PORT
+from turmericrouter_standins.host import ENTRY_PORT
+from turmericrouter_standins.host import Host
+from turmericrouter_standins.host import TARGET_PORT
 
 _LOWEST_US = 1
 _HIGHEST_US = 60_000_000
--- a/packages/standins/src/turmericrouter_standins/overload.py
+++ b/packages/standins/src/turmericrouter_standins/overload.py
@@ -6,7 +6,7 @@
 
 from turmericrouter_core.verdict import Importance
 from turmericrouter_standins.fleet import Fleet
-from turmericrouter_standins.fleet import SettingsTree
+from turmericrouter_standins.host import SettingsTree
 from turmericrouter_standins.load import Flow
 from turmericrouter_standins.load import Phase
 from turmericrouter_standins.scenario import Kind
--- a/packages/standins/src/turmericrouter_standins/propagation.py
+++ b/packages/standins/src/turmericrouter_standins/propagation.py
@@ -11,7 +11,7 @@
 from turmericrouter_core.config import Route
 from turmericrouter_standins.fleet import digest_scope
 from turmericrouter_standins.fleet import Fleet
-from turmericrouter_standins.fleet import Host
+from turmericrouter_standins.host import Host
 from turmericrouter_standins.scenario import Scenario
 
 # 36,000 changes a day.
--- a/packages/standins/src/turmericrouter_standins/scenario.py
+++ b/packages/standins/src/turmericrouter_standins/scenario.py
@@ -13,7 +13,7 @@
 from turmericrouter_core.config import Workspace
 from turmericrouter_core.verdict import Importance
 from turmericrouter_standins.fleet import digest_scope
-from turmericrouter_standins.fleet import ServiceSpec
+from turmericrouter_standins.host import ServiceSpec
 
 
 class ServiceSize(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/packages/standins/src/turmericrouter_standins/soak.py
+++ b/packages/standins/src/turmericrouter_standins/soak.py
@@ -29,7 +29,7 @@
 from turmericrouter_standins.faults import FaultInjector
 from turmericrouter_standins.fleet import digest_scope
 from turmericrouter_standins.fleet import Fleet
-from turmericrouter_standins.fleet import ServiceSpec
+from turmericrouter_standins.host import ServiceSpec
 from turmericrouter_standins.invariants import Started
 from turmericrouter_standins.load import Attempt
 from turmericrouter_standins.load import Flow
--- a/packages/standins/src/turmericrouter_standins/trial.py
+++ b/packages/standins/src/turmericrouter_standins/trial.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from turmericrouter_standins.fleet import Fleet
-from turmericrouter_standins.fleet import SettingsTree
+from turmericrouter_standins.host import SettingsTree
 from turmericrouter_standins.ledger import LedgerEntry
 from turmericrouter_standins.load import Attempt
 from turmericrouter_standins.load import Flow
--- a/packages/standins/src/turmericrouter_standins/uneven.py
+++ b/packages/standins/src/turmericrouter_standins/uneven.py
@@ -19,8 +19,8 @@
 from turmericrouter_core.config import Workspace
 from turmericrouter_standins.fleet import digest_scope
 from turmericrouter_standins.fleet import Fleet
-from turmericrouter_standins.fleet import Host
-from turmericrouter_standins.fleet import ServiceSpec
+from turmericrouter_standins.host import Host
+from turmericrouter_standins.host import ServiceSpec
 
 _KEY = 'uneven-key'
 _WORK_MS = 20.0
--- a/tests/system/test_entry_limits.py
+++ b/tests/system/test_entry_limits.py
@@ -12,10 +12,10 @@
 from turmericrouter_core.identity import OperationId
 from turmericrouter_core.verdict import Importance
 from turmericrouter_standins.fleet import digest_scope
-from turmericrouter_standins.fleet import ENTRY_PORT
 from turmericrouter_standins.fleet import Fleet
-from turmericrouter_standins.fleet import Host
-from turmericrouter_standins.fleet import ServiceSpec
+from turmericrouter_standins.host import ENTRY_PORT
+from turmericrouter_standins.host import Host
+from turmericrouter_standins.host import ServiceSpec
 
 KEY = 'key-of-the-north-ward'
 VALUES: dict[str, Value | None] = {
--- a/tests/system/test_nested.py
+++ b/tests/system/test_nested.py
@@ -14,8 +14,8 @@
 from turmericrouter_core.config import Workspace
 from turmericrouter_standins.fleet import digest_scope
 from turmericrouter_standins.fleet import Fleet
-from turmericrouter_standins.fleet import LOCAL_PORT
-from turmericrouter_standins.fleet import ServiceSpec
+from turmericrouter_standins.host import LOCAL_PORT
+from turmericrouter_standins.host import ServiceSpec
 
 KEY = 'key-of-the-chalk-judges'
 VALUES: dict[str, Value | None] = {
--- a/tests/system/test_operator.py
+++ b/tests/system/test_operator.py
@@ -11,9 +11,9 @@
 from turmericrouter_core.config import decode_record
 from turmericrouter_core.config import Publication
 from turmericrouter_operator.builder import Configuration
-from turmericrouter_standins.fleet import ADMIN_PORT
 from turmericrouter_standins.fleet import Fleet
-from turmericrouter_standins.fleet import ServiceSpec
+from turmericrouter_standins.host import ADMIN_PORT
+from turmericrouter_standins.host import ServiceSpec
 
 DOMAINS = ['north', 'south']
 STALE_AFTER_S = 3.0
--- a/tests/system/test_request_path.py
+++ b/tests/system/test_request_path.py
@@ -11,7 +11,7 @@
 from turmericrouter_core.verdict import Importance
 from turmericrouter_standins.fleet import digest_scope
 from turmericrouter_standins.fleet import Fleet
-from turmericrouter_standins.fleet import ServiceSpec
+from turmericrouter_standins.host import ServiceSpec
 
 KEY = 'secret-key-of-east-wing'
 VALUES: dict[str, Value | None] = {
@@ -69,6 +69,8 @@
     async with fleet:
         await fleet.publish(VALUES)
         await fleet.wait_served('/status/1')
+        # What a domain does not know before a cut it cannot learn then.
+        await fleet.wait_directory()
         await fleet.set_links(cuts=[('north', 'south')])
         fleet.host('design-north-0').target.kill()
         for name in ('works-north-0', 'works-south-0'):
--- a/tests/system/test_single_execution.py
+++ b/tests/system/test_single_execution.py
@@ -19,8 +19,8 @@
 from turmericrouter_core.identity import OperationId
 from turmericrouter_standins.fleet import digest_scope
 from turmericrouter_standins.fleet import Fleet
-from turmericrouter_standins.fleet import Reply
-from turmericrouter_standins.fleet import ServiceSpec
+from turmericrouter_standins.host import Reply
+from turmericrouter_standins.host import ServiceSpec
 
 KEY = 'secret-key-of-treasury'
 DOMAINS = ('north', 'south')
--- a/tests/system/test_stop.py
+++ b/tests/system/test_stop.py
@@ -9,9 +9,9 @@
 from turmericrouter_core.config import Route
 from turmericrouter_core.config import Value
 from turmericrouter_standins.fleet import Fleet
-from turmericrouter_standins.fleet import Host
-from turmericrouter_standins.fleet import Reply
-from turmericrouter_standins.fleet import ServiceSpec
+from turmericrouter_standins.host import Host
+from turmericrouter_standins.host import Reply
+from turmericrouter_standins.host import ServiceSpec
 
 VALUES: dict[str, Value | None] = {
     'route/work': Route('design', '/work', open_to_all=True),
--- a/tests/system/test_tls.py
+++ b/tests/system/test_tls.py
@@ -22,12 +22,12 @@
 from turmericrouter_core.errors import SettingsError
 from turmericrouter_daemon.settings import TlsSettings
 from turmericrouter_daemon.tls import TlsContexts
-from turmericrouter_standins.fleet import ADMIN_PORT
-from turmericrouter_standins.fleet import ENTRY_PORT
 from turmericrouter_standins.fleet import Fleet
-from turmericrouter_standins.fleet import Host
-from turmericrouter_standins.fleet import PEER_PORT
-from turmericrouter_standins.fleet import ServiceSpec
+from turmericrouter_standins.host import ADMIN_PORT
+from turmericrouter_standins.host import ENTRY_PORT
+from turmericrouter_standins.host import Host
+from turmericrouter_standins.host import PEER_PORT
+from turmericrouter_standins.host import ServiceSpec
 
 SERVER_NAME = 'fleet.example'
 _DAY = datetime.timedelta(days=1)
