Make request objects in one place for both listeners

Cause: the entry and the local listener each had the same factory for aiohttp's request objects, differing only in the bound on bodies.

Ruled out: a module function that both pass in; the server that makes the protocol already takes the other limits.

Conclusion: CallerServer takes max_body_bytes and makes the requests.

--- a/packages/daemon/src/turmericrouter_daemon/caller_protocol.py
+++ b/packages/daemon/src/turmericrouter_daemon/caller_protocol.py
@@ -1,7 +1,9 @@
 """HTTP connections that answer unreadable requests with a problem body."""
 
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import functools
 import secrets
 from typing import Any
 
@@ -159,7 +161,7 @@
     Args:
         handler: Handles a request.
         log: Logger.
-        request_factory: Makes request objects, by default aiohttp's.
+        max_body_bytes: Longest request body.
         **options: Arguments of `CallerProtocol`.
     """
 
@@ -168,12 +170,16 @@
         handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
         log: Log,
         *,
-        request_factory: Callable[..., web.BaseRequest] | None = None,
+        max_body_bytes: int,
         **options: Any,
     ) -> None:
         super().__init__(
             handler,
-            request_factory=request_factory,
+            request_factory=functools.partial(
+                web.BaseRequest,
+                loop=asyncio.get_running_loop(),
+                client_max_size=max_body_bytes,
+            ),
             handler_cancellation=True,
         )
         self._log = log
--- a/packages/daemon/src/turmericrouter_daemon/entry.py
+++ b/packages/daemon/src/turmericrouter_daemon/entry.py
@@ -4,9 +4,6 @@
 import dataclasses
 
 from aiohttp import web
-from aiohttp.abc import AbstractStreamWriter
-from aiohttp.http import RawRequestMessage
-from aiohttp.streams import StreamReader
 import msgspec
 
 from turmericrouter_core.identity import new_request_id
@@ -90,7 +87,7 @@
         self._web_server = CallerServer(
             self._handle,
             self._runtime.log,
-            request_factory=self._make_request,
+            max_body_bytes=settings.entry.max_body_bytes,
             keepalive_timeout=settings.entry.idle_timeout_s,
             max_line_size=settings.entry.max_line_bytes,
             max_field_size=settings.entry.max_field_bytes,
@@ -120,24 +117,6 @@
             self._web_server.pre_shutdown()
             await self._web_server.shutdown(timeout_s)
 
-    def _make_request(
-        self,
-        message: RawRequestMessage,
-        payload: StreamReader,
-        protocol: web.RequestHandler,
-        writer: AbstractStreamWriter,
-        task: 'asyncio.Task[None]',
-    ) -> web.BaseRequest:
-        return web.BaseRequest(
-            message,
-            payload,
-            protocol,
-            writer,
-            task,
-            asyncio.get_running_loop(),
-            client_max_size=self._runtime.settings.entry.max_body_bytes,
-        )
-
     async def _handle(self, request: web.BaseRequest) -> web.Response:
         request_id = new_request_id(self._runtime.rng)
         self._in_flight += 1
--- a/packages/daemon/src/turmericrouter_daemon/local.py
+++ b/packages/daemon/src/turmericrouter_daemon/local.py
@@ -4,9 +4,6 @@
 import dataclasses
 
 from aiohttp import web
-from aiohttp.abc import AbstractStreamWriter
-from aiohttp.http import RawRequestMessage
-from aiohttp.streams import StreamReader
 import msgspec
 
 from turmericrouter_core.context import call_digest
@@ -96,7 +93,7 @@
         self._web_server = CallerServer(
             self._handle,
             self._runtime.log,
-            request_factory=self._make_request,
+            max_body_bytes=self._max_body_bytes,
         )
         host = self._runtime.settings.host
         self._server = await asyncio.get_running_loop().create_server(
@@ -115,24 +112,6 @@
             self._web_server.pre_shutdown()
             await self._web_server.shutdown(1.0)
 
-    def _make_request(
-        self,
-        message: RawRequestMessage,
-        payload: StreamReader,
-        protocol: web.RequestHandler,
-        writer: AbstractStreamWriter,
-        task: 'asyncio.Task[None]',
-    ) -> web.BaseRequest:
-        return web.BaseRequest(
-            message,
-            payload,
-            protocol,
-            writer,
-            task,
-            asyncio.get_running_loop(),
-            client_max_size=self._max_body_bytes,
-        )
-
     async def _handle(self, request: web.BaseRequest) -> web.Response:
         if request.path == ANNOUNCEMENT_PATH and request.method == 'PUT':
             return await self._announce(request)
