Split exchanges of directories from the own entry

Ruled out: a common base class; the two share the directory only. No change of behaviour. Conclusion: directory_exchange owns partners, contacts and pulls.

--- a/packages/daemon/src/turmericrouter_daemon/directory_sync.py
+++ b/packages/daemon/src/turmericrouter_daemon/directory_sync.py
@@ -19,33 +19,22 @@
 from turmericrouter_core.directory import marked
 from turmericrouter_core.directory import MemberState
 from turmericrouter_core.directory import refute
-from turmericrouter_core.errors import LinkError
 from turmericrouter_core.errors import LogServiceError
-from turmericrouter_core.messages import DirectoryDelta
 from turmericrouter_core.messages import DirectoryEntry
 from turmericrouter_core.messages import DirectoryPull
 from turmericrouter_core.messages import DirectoryPush
 from turmericrouter_core.messages import Hello
-from turmericrouter_core.rendezvous import ranked
 from turmericrouter_daemon.config_sync import ConfigSync
+from turmericrouter_daemon.directory_exchange import DirectoryExchange
 from turmericrouter_daemon.gossip import Gossip
 from turmericrouter_daemon.peer import MessageRouter
 from turmericrouter_daemon.runtime import Runtime
 
-_EXCHANGE_TIMEOUT_S = 2.0
 _EXPIRE_PERIOD_S = 60.0
 _ANNOUNCE_RETRY_S = 0.5
 _MAX_ANNOUNCE_RETRY_S = 5.0
-# One in this many exchanges is with a member of the own failure domain.
-_LOCAL_EXCHANGE_EVERY = 5
 # A message with more entries comes from an exchange and is not sent on.
 _MAX_NEWS = 32
-_MAX_CONTACTS = 64
-# An announced daemon normally joins by itself; the others ask it only if it
-# is still unknown after this time plus a random part that grows with the
-# fleet, so that a new daemon is not asked by all at once.
-_CONTACT_DELAY_S = 1.0
-_CONTACTS_PER_S = 100
 
 ChangeCallback = Callable[[tuple[DirectoryEntry, ...]], None]
 
@@ -82,11 +71,8 @@
         )
         self._is_leaving = False
         self._directory.merge([self._own])
-        self._contacts: dict[str, float] = {}
-        self._is_joined = False
-        self._is_exchanging = False
+        self._exchange = DirectoryExchange(runtime, gossip, self.take)
         self._has_departed = False
-        self._exchanges = 0
         self._change_subscribers: list[ChangeCallback] = []
         self._news_subscribers: list[ChangeCallback] = []
         self._timers: list[Subscription] = []
@@ -113,21 +99,15 @@
 
     def register(self, router: MessageRouter) -> None:
         """Handle the messages of the directory."""
-        router.register(DirectoryPull, self.handle_pull)
+        router.register(DirectoryPull, self._exchange.handle_pull)
         router.register(DirectoryPush, self.handle_push)
 
     async def start(self) -> None:
         """Announce this daemon and start exchanging directories."""
         timers = self._runtime.timers
-        settings = self._runtime.settings
-        exchange_s = settings.membership.exchange_period_s
-        retention_s = settings.platform.retention_s
+        retention_s = self._runtime.settings.platform.retention_s
         self._timers = [
             timers.after(0.0, self._announce_start, name='announce'),
-            timers.after(0.0, self._exchange, name='directory_join'),
-            timers.every(
-                exchange_s, self._exchange, name='directory_exchange'
-            ),
             timers.every(
                 retention_s / 4, self._announce_again, name='announce_again'
             ),
@@ -135,9 +115,11 @@
                 _EXPIRE_PERIOD_S, self._expire, name='directory_expire'
             ),
         ]
+        self._exchange.start()
 
     async def stop(self) -> None:
         """Tell others that this daemon ends; it refutes nothing more."""
+        self._exchange.stop()
         for timer in self._timers:
             timer.cancel()
         self._has_departed = True
@@ -217,17 +199,6 @@
         if new:
             self._tell(new, is_news=is_news)
 
-    def handle_pull(
-        self, message: DirectoryPull, sender: Hello
-    ) -> DirectoryDelta:
-        """Return the entries of the buckets that differ."""
-        differing = self._directory.differing(message.digests)
-        delta = DirectoryDelta(
-            self._directory.in_buckets(differing), self._directory.digests
-        )
-        self._gossip.count_frame(delta)
-        return delta
-
     def handle_push(self, message: DirectoryPush, sender: Hello) -> None:
         """Merge pushed entries."""
         self.take(message.entries, is_news=len(message.entries) <= _MAX_NEWS)
@@ -281,81 +252,6 @@
                 version=entry.version,
             )
 
-    async def _exchange(self) -> None:
-        if self._is_exchanging:
-            return
-        address = self._exchange_partner()
-        if address is None:
-            return
-        self._is_exchanging = True
-        try:
-            await self._exchange_with(address)
-        except LinkError:
-            self._runtime.metrics.incr('directory.exchange_failed')
-        finally:
-            self._is_exchanging = False
-
-    async def _exchange_with(self, address: str) -> None:
-        directory = self._directory
-        delta = await self._gossip.request(
-            address,
-            DirectoryPull(directory.digests),
-            DirectoryDelta,
-            _EXCHANGE_TIMEOUT_S,
-        )
-        self._contacts.pop(address, None)
-        self._is_joined = True
-        self.take(delta.entries, is_news=False)
-        theirs = set(delta.entries)
-        lacking = tuple(
-            entry
-            for entry in directory.in_buckets(
-                directory.differing(delta.digests)
-            )
-            if entry not in theirs
-        )
-        if lacking:
-            self._gossip.send([address], DirectoryPush(lacking))
-
-    def _exchange_partner(self) -> str | None:
-        self._exchanges += 1
-        contact = self._due_contact()
-        if contact is not None:
-            return contact
-        own = self._runtime.settings.host.domain
-        if not self._is_joined:
-            return self._gossip.choose_or_seed()
-        others = [name for name in self._directory.domains if name != own]
-        if others and self._is_bridge():
-            chosen = self._gossip.members(self._rng.choice(others))
-            if chosen and self._exchanges % _LOCAL_EXCHANGE_EVERY:
-                return self._rng.choice(self._bridges(chosen))
-        if self._exchanges % _LOCAL_EXCHANGE_EVERY == 0:
-            here = self._gossip.members(own)
-            return self._rng.choice(here) if here else None
-        return None
-
-    def _due_contact(self) -> str | None:
-        """Return an announced address that is still unknown."""
-        now = self._runtime.clock.monotonic()
-        for address, due in list(self._contacts.items()):
-            if self._directory.get(address) is not None:
-                del self._contacts[address]
-            elif not self._is_joined or due <= now:
-                # Each gets one attempt; most that fail are long gone.
-                del self._contacts[address]
-                return address
-        return None
-
-    def _bridges(self, members: list[str]) -> list[str]:
-        count = self._runtime.settings.membership.bridges_per_domain
-        return ranked('bridge', members)[:count]
-
-    def _is_bridge(self) -> bool:
-        own = self._runtime.address
-        members = self._gossip.members(self._runtime.settings.host.domain)
-        return own in self._bridges([*members, own])
-
     def _expire(self) -> None:
         expired = self._directory.expire(self._runtime.clock.monotonic())
         if expired:
@@ -385,16 +281,8 @@
     def _on_control(self, offset: int, record: ControlRecord) -> None:
         # Announcements may be a retention time old, so they only name whom
         # to ask; entries come from daemons that run.
-        if not isinstance(record, Announcement):
-            return
-        address = record.entry.address
-        if self._directory.get(address) is not None:
-            return
-        window_s = len(self._directory) / _CONTACTS_PER_S
-        delay_s = _CONTACT_DELAY_S + self._rng.uniform(0, window_s)
-        self._contacts[address] = self._runtime.clock.monotonic() + delay_s
-        while len(self._contacts) > _MAX_CONTACTS:
-            del self._contacts[next(iter(self._contacts))]
+        if isinstance(record, Announcement):
+            self._exchange.add_contact(record.entry.address)
 
     def _on_config(self, applied: Applied) -> None:
         own = self._own
