Find untagged attempts of the soak run by request id

Ruled out: a fault of the daemons; each poison path was started twice only. Leaving untagged attempts out of the check, which would weaken it. Before and after: the new test in tests/standins/test_invariants.py fails before and passes after. Conclusion: untagged attempts are matched by their request id.

--- a/packages/standins/src/turmericrouter_standins/invariants.py
+++ b/packages/standins/src/turmericrouter_standins/invariants.py
@@ -65,21 +65,23 @@
 
     Every attempt with an operation's id speaks for the operation: none may
     be told `not-run` once an attempt that was sent no later has run.
+    Attempts without a tag are found in the ledger by their request id.
     """
     number_of_tag = {a.tag: a.attempt for a in attempts}
-    ran_by_tag: set[str] = set()
+    ran_marks: set[str] = set()
     ran_attempt: dict[str, int] = {}
     for item in started:
         tag, operation = item.entry.tag, item.entry.operation
-        ran_by_tag.add(tag)
+        ran_marks.add(tag or item.entry.request_id)
         if operation and tag in number_of_tag:
             ran_attempt[operation] = number_of_tag[tag]
     problems = []
     for attempt in attempts:
         if attempt.verdict != Verdict.NOT_RUN:
             continue
-        if attempt.tag in ran_by_tag:
-            problems.append(f'{attempt.tag} was told not-run, but ran')
+        mark = attempt.tag or attempt.request_id
+        if mark in ran_marks:
+            problems.append(f'{mark} was told not-run, but ran')
             continue
         ran = ran_attempt.get(attempt.operation)
         if ran is None or attempt.reason in _ATTEMPT_REASONS:
--- a/tests/standins/test_invariants.py
+++ b/tests/standins/test_invariants.py
@@ -23,6 +23,7 @@
     whole: bool = True,
     tag: str = 't0',
     operation: str = '',
+    request_id: str = 'r0',
 ) -> Attempt:
     return Attempt(
         flow,
@@ -37,7 +38,7 @@
         tag,
         operation,
         'http://entry',
-        'r0',
+        request_id,
     )
 
 
@@ -64,6 +65,15 @@
     assert not invariants.check_not_run([refused], [_started(tag='t1')])
 
 
+def test_untagged_attempts_are_told_apart_by_request_id() -> None:
+    # Guards against a soak run that blames a refused attempt for another
+    # untagged one that ran, or that misses an untagged one that ran.
+    refused = _attempt(status=503, verdict='not-run', tag='')
+    assert invariants.check_not_run([refused], [_started(tag='')])
+    other = _started(tag='', request_id='r1')
+    assert not invariants.check_not_run([refused], [other])
+
+
 def test_resent_operation_told_not_run_after_it_ran_is_found() -> None:
     attempts = [
         _attempt(status=0, verdict='', operation='o'),
