Mark attempts of the load tool in a header

Cause: the load tool put a tag of its own into the query of each attempt. A resend of a non-idempotent request was therefore another request under the same idempotency key, and the daemons refused it (operation-conflict). Soak runs and the overload experiment never saw a stored answer and never resent after a refusal. Before and after: tests/standins/test_load.py is new and fails before. Conclusion: the tag is a header, and routes of the soak end before their callers give up, so that an unanswered caller still counts as cut.

--- a/packages/standins/src/turmericrouter_standins/ledger.py
+++ b/packages/standins/src/turmericrouter_standins/ledger.py
@@ -5,6 +5,9 @@
 
 import msgspec
 
+# Not in the query: a resend must be the same request as the first attempt.
+TAG_HEADER = 'Load-Tag'
+
 
 class LedgerEntry(msgspec.Struct, frozen=True):
     """A request that a target has started.
@@ -16,7 +19,7 @@
         workspace: Workspace as the daemon names it.
         request_id: Id of the top-level request.
         operation: Id of a non-idempotent request, else empty.
-        tag: Mark that the test put into the query.
+        tag: Mark that the caller put into the tag header.
         depth: Depth in the call chain, if the daemon names it.
         violation: Headers that the target must not see.
     """
--- a/packages/standins/src/turmericrouter_standins/load.py
+++ b/packages/standins/src/turmericrouter_standins/load.py
@@ -20,6 +20,7 @@
 import uvloop
 
 from turmericrouter_core.identity import OperationId
+from turmericrouter_standins.ledger import TAG_HEADER
 
 NO_ANSWER = 0
 
@@ -54,8 +55,6 @@
             long as `Retry-After` says.
         delay_s: One-way delay between callers and entries.
         timeout_s: Time that a caller waits for an answer.
-        tagged: Whether each attempt carries a mark of its own in the
-            query; without it a resend is the same request.
     """
 
     name: str
@@ -71,7 +70,6 @@
     retry_wait_s: float = 0.0
     delay_s: float = 0.0
     timeout_s: float = 10.0
-    tagged: bool = True
 
 
 class LoadSpec(msgspec.Struct, frozen=True):
@@ -217,11 +215,9 @@
         The attempt and the seconds to wait before another one.
     """
     entry = rng.choice(flow.entries)
-    tag = f'{rng.getrandbits(64):016x}' if flow.tagged else ''
+    tag = f'{rng.getrandbits(64):016x}'
     url = entry + flow.path
-    if tag:
-        url += f'{"&" if "?" in url else "?"}tag={tag}&echo={tag}'
-    headers = {}
+    headers = {TAG_HEADER: tag}
     if flow.key:
         headers['Authorization'] = f'Bearer {flow.key}'
     if operation:
@@ -283,7 +279,7 @@
         return False
     if answer.get('sum') != hashlib.sha256(body).hexdigest():
         return False
-    return not tag or answer.get('echo') == tag
+    return not tag or answer.get('tag') == tag
 
 
 def read_attempts(path: pathlib.Path) -> list[Attempt]:
--- a/packages/standins/src/turmericrouter_standins/soak.py
+++ b/packages/standins/src/turmericrouter_standins/soak.py
@@ -45,6 +45,10 @@
 LOAD_PROCESSES = 2
 _RATES = {'alpha': 60.0, 'beta': 30.0, 'gamma': 20.0}
 _KEYS = {name: f'soak-key-of-{name}' for name in _RATES}
+# Shorter than callers wait, so that a caller without an answer tells of a
+# daemon that is stuck, cut off or gone.
+_ROUTE_TIMEOUT_MS = 4000
+_CALLER_TIMEOUT_S = 6.0
 _POISON_PERIOD_S = 20.0
 _POISON_TRIES = 6
 _ROTATION_PERIOD_S = 8.0
@@ -52,16 +56,25 @@
 Problems = dict[str, list[str]]
 
 
+def _route(service: str, path: str, **more: object) -> Route:
+    return Route(
+        service,
+        path,
+        timeout_ms=_ROUTE_TIMEOUT_MS,
+        **more,  # type: ignore[arg-type]
+    )
+
+
 def _configuration() -> dict[str, Value | None]:
     values: dict[str, Value | None] = {
         'fleet': FleetRecord(domains=DOMAINS),
-        'route/lookup': Route('front', '/lookup', importance=Importance.LOW),
-        'route/chain': Route('front', '/chain'),
-        'route/deep': Route('deep', '/deep'),
-        'route/open': Route('front', '/open', open_to_all=True),
-        'route/rotate': Route('front', '/rotate'),
-        'route/poison': Route('deep', '/poison'),
-        'route/book': Route(
+        'route/lookup': _route('front', '/lookup', importance=Importance.LOW),
+        'route/chain': _route('front', '/chain'),
+        'route/deep': _route('deep', '/deep'),
+        'route/open': _route('front', '/open', open_to_all=True),
+        'route/rotate': _route('front', '/rotate'),
+        'route/poison': _route('deep', '/poison'),
+        'route/book': _route(
             'booking',
             '/book',
             importance=Importance.CRITICAL,
@@ -86,7 +99,7 @@
             key=_KEYS.get(workspace, ''),
             retries=3,
             retry_wait_s=0.3,
-            timeout_s=5.0,
+            timeout_s=_CALLER_TIMEOUT_S,
             **more,  # type: ignore[arg-type]
         )
 
@@ -217,7 +230,7 @@
             phases=(),
             entries=tuple(host.entry_url for host in fleet.hosts),
             key=key,
-            timeout_s=3.0,
+            timeout_s=_CALLER_TIMEOUT_S,
         )
         end = time.monotonic() + 1.5 * _ROTATION_PERIOD_S + WITHDRAWN_BOUND_S
         number = 0
@@ -240,8 +253,7 @@
                 phases=(),
                 entries=tuple(host.entry_url for host in fleet.hosts),
                 key=_KEYS['beta'],
-                timeout_s=3.0,
-                tagged=False,
+                timeout_s=_CALLER_TIMEOUT_S,
             )
             number += 1
             for attempt in range(_POISON_TRIES):
--- a/packages/standins/src/turmericrouter_standins/target.py
+++ b/packages/standins/src/turmericrouter_standins/target.py
@@ -22,6 +22,7 @@
 
 from turmericrouter_standins.ledger import Ledger
 from turmericrouter_standins.ledger import LedgerEntry
+from turmericrouter_standins.ledger import TAG_HEADER
 
 _ANNOUNCE_PERIOD_S = 1.0
 _FORBIDDEN_HEADERS = ('Authorization',)
@@ -117,6 +118,7 @@
             'sum': hashlib.sha256(body).hexdigest(),
             'workspace': request.headers.get('Turmeric-Workspace', ''),
             'echo': request.query.get('echo', ''),
+            'tag': request.headers.get(TAG_HEADER, ''),
             'nested': nested,
         }
         return web.json_response(
@@ -170,7 +172,7 @@
                 workspace=request.headers.get('Turmeric-Workspace', ''),
                 request_id=request.headers.get('Turmeric-Request-Id', ''),
                 operation=request.headers.get('Idempotency-Key', ''),
-                tag=request.query.get('tag', ''),
+                tag=request.headers.get(TAG_HEADER, ''),
                 depth=request.headers.get('Turmeric-Depth', ''),
                 violation=','.join(leaked),
             )
--- /dev/null
+++ b/tests/standins/test_load.py
@@ -0,0 +1,77 @@
+"""Callers of the load tool against real processes."""
+
+import asyncio
+import pathlib
+import random
+import time
+
+from turmericrouter_core.config import Fleet as FleetRecord
+from turmericrouter_core.config import Key
+from turmericrouter_core.config import Route
+from turmericrouter_core.config import Workspace
+from turmericrouter_core.identity import OperationId
+from turmericrouter_standins.fleet import digest_scope
+from turmericrouter_standins.fleet import Fleet
+from turmericrouter_standins.host import ServiceSpec
+from turmericrouter_standins.load import Attempt
+from turmericrouter_standins.load import Flow
+from turmericrouter_standins.load import send_attempt
+
+KEY = 'key-of-the-load-test'
+
+
+async def _attempt(
+    fleet: Fleet, flow: Flow, number: int, operation: str, rng: random.Random
+) -> Attempt:
+    made, _ = await send_attempt(
+        fleet.session, flow, 0, number, b'x', operation, rng
+    )
+    return made
+
+
+async def _check_resend(directory: pathlib.Path) -> None:
+    services = [ServiceSpec('works')]
+    async with Fleet(directory, ['north'], services) as fleet:
+        await fleet.publish(
+            {
+                'fleet': FleetRecord(domains=('north',)),
+                'workspace/east': Workspace(rate_per_s=1000, burst=1000),
+                digest_scope(KEY): Key('east'),
+                'route/status': Route('works', '/status'),
+                'route/book': Route('works', '/book', idempotent=False),
+            }
+        )
+        await fleet.wait_served('/status', key=KEY)
+        await fleet.wait_rosters()
+        flow = Flow(
+            'east/book',
+            '/book/1',
+            phases=(),
+            entries=(fleet.hosts[0].entry_url,),
+            key=KEY,
+            method='POST',
+        )
+        rng = random.Random(1)
+        made = []
+        async with asyncio.timeout(30):
+            while not made or not made[0].is_served:
+                # A home that has just started refuses ids of before.
+                operation = OperationId.mint(time.time(), 0, rng).text
+                made = [
+                    await _attempt(fleet, flow, number, operation, rng)
+                    for number in range(2)
+                ]
+        started = [e for e in fleet.ledger(fleet.hosts[0]) if e.operation]
+    # Guards against a load whose resends are other requests than the first
+    # attempt: they would be refused and so prove nothing about resends.
+    assert made[1].is_served
+    assert made[1].reason != 'operation-conflict'
+    assert [e.tag for e in started if e.operation == operation] == [
+        made[0].tag
+    ]
+
+
+def test_resend_of_an_operation_is_the_same_request(
+    tmp_path: pathlib.Path,
+) -> None:
+    asyncio.run(_check_resend(tmp_path))
--- a/tests/system/test_overload.py
+++ b/tests/system/test_overload.py
@@ -47,17 +47,16 @@
 
     async def run(self) -> None:
         async with asyncio.TaskGroup() as group:
-            for number in range(SURGE_PERIODS):
+            for _ in range(SURGE_PERIODS):
                 for _ in range(CRITICAL_PER_PERIOD):
-                    group.create_task(self._call('booking', number))
+                    group.create_task(self._call('booking'))
                 for _ in range(LOW_PER_PERIOD):
-                    group.create_task(self._call('catalogue', number))
+                    group.create_task(self._call('catalogue'))
                 await asyncio.sleep(PERIOD_S)
 
-    async def _call(self, kind: str, number: int) -> None:
-        path = f'/{kind}/1?tag={kind}-{number}'
+    async def _call(self, kind: str) -> None:
         self.replies[kind].append(
-            await self._fleet.call(self._host, path, key=KEY)
+            await self._fleet.call(self._host, f'/{kind}/1', key=KEY)
         )
 
     def served_share(self, kind: str) -> float:
