Hold back attempts that a not-run answer has overtaken

Cause: a caller gives up an attempt, sends the operation again through another entry and is told not-run. If the first entry has not seen the connection close and its BeginOperation is held up, it reached the home after the abort, found no record and started.

Ruled out: a stamp of the arrival at the entry (rests on clocks, needs a wire field); an id that never starts again after not-run (a caller that is told not-run may resend the same id); keeping aborted records for the whole retention (fills the home while requests are shed).

The home remembers for home_timeout_ms which ids were told not-run and answers in-progress, and an entry uses no start that comes later than home_timeout_ms after it asked, measured also over a pause.

Conclusion: an attempt that its entry had read when the resend was refused cannot start any more. One that waits unread in the network or in the socket of a paused entry still can, if the close of its connection comes later than the reply of the home.

--- a/packages/core/src/turmericrouter_core/operation.py
+++ b/packages/core/src/turmericrouter_core/operation.py
@@ -48,6 +48,8 @@
         retention_ms: Milliseconds for which an id is remembered.
         max_clock_skew_ms: Bound of the difference of two hosts' clocks.
         max_id_ahead_ms: How far an id may be stamped ahead of the clock.
+        begin_timeout_ms: Longest time for which an entry waits for the
+            answer to `BeginOperation`; an entry uses no later start.
         max_operations: Most operations remembered.
         max_answers_bytes: Most bytes of answers kept for replay.
     """
@@ -55,6 +57,7 @@
     retention_ms: int = 900_000
     max_clock_skew_ms: int = 500
     max_id_ahead_ms: int = 500
+    begin_timeout_ms: int = 1000
     max_operations: int = 100_000
     max_answers_bytes: int = 16 * 1024 * 1024
 
@@ -96,6 +99,8 @@
         # Ids up to this stamp may have been forgotten. It never falls, so a
         # clock that steps back brings no forgotten id to life.
         self._forgotten_ms = 0
+        # When a caller was last told not-run, oldest first.
+        self._not_run_at_ms: dict[Key, float] = {}
 
     def __len__(self) -> int:
         return len(self._records)
@@ -110,14 +115,21 @@
         message: BeginOperation,
         *,
         now_ms: int,
+        monotonic_ms: float,
         since_ms: int,
         nonce: int,
     ) -> OperationStatus:
         """Decide whether an operation may start.
 
+        An id of which a caller was told not-run counts as in progress until
+        every question that was sent before has timed out at its entry:
+        the caller may have given up such an attempt, and it must not start
+        now.
+
         Args:
             message: The question.
             now_ms: Wall-clock milliseconds.
+            monotonic_ms: Monotonic milliseconds.
             since_ms: Wall-clock milliseconds since when this daemon is the
                 home of the id; an earlier home may have started ids that
                 were stamped before.
@@ -132,8 +144,15 @@
         record = self._records.get(key)
         if record is not None:
             return _repeat(record, message.body_digest)
+        self._forget_not_run(monotonic_ms)
+        if key in self._not_run_at_ms:
+            return OperationStatus(
+                OperationState.IN_PROGRESS, Reason.OPERATION_IN_PROGRESS
+            )
         refusal = self._refuse(operation.stamped_ms, now_ms, since_ms)
         if refusal is not None:
+            if refusal.state == OperationState.REFUSED:
+                self._not_run_at_ms[key] = monotonic_ms
             return refusal
         self._records[key] = _Record(
             message.body_digest, nonce, operation.stamped_ms
@@ -174,9 +193,22 @@
             self._trim_answers()
         return True
 
-    def abort(self, workspace: str, operation_id: str, nonce: int) -> bool:
+    def abort(
+        self,
+        workspace: str,
+        operation_id: str,
+        nonce: int,
+        *,
+        monotonic_ms: float,
+    ) -> bool:
         """Remove a started operation that certainly did not run.
 
+        Args:
+            workspace: Workspace of the caller.
+            operation_id: Canonical text of the id.
+            nonce: Nonce of the start.
+            monotonic_ms: Monotonic milliseconds.
+
         Returns:
             Whether this start was known and open.
         """
@@ -189,8 +221,19 @@
         keys.remove(key)
         if not keys:
             del self._by_second[record.stamped_ms // 1000]
+        self._forget_not_run(monotonic_ms)
+        self._not_run_at_ms[key] = monotonic_ms
         return True
 
+    def _forget_not_run(self, monotonic_ms: float) -> None:
+        """Let ids start again that no outdated attempt can start."""
+        limit_ms = monotonic_ms - self._limits.begin_timeout_ms
+        while self._not_run_at_ms:
+            key, told_ms = next(iter(self._not_run_at_ms.items()))
+            if told_ms >= limit_ms:
+                return
+            del self._not_run_at_ms[key]
+
     def _refuse(
         self, stamped_ms: int, now_ms: int, since_ms: int
     ) -> OperationStatus | None:
--- a/packages/daemon/src/turmericrouter_daemon/operation_service.py
+++ b/packages/daemon/src/turmericrouter_daemon/operation_service.py
@@ -48,6 +48,7 @@
         retention_ms=int(settings.retention_s * 1000),
         max_clock_skew_ms=settings.max_clock_skew_ms,
         max_id_ahead_ms=settings.max_id_ahead_ms,
+        begin_timeout_ms=settings.home_timeout_ms,
         max_operations=settings.max_operations,
         max_answers_bytes=settings.max_answers_bytes,
     )
@@ -172,7 +173,10 @@
     ) -> None:
         """Remove a start as home."""
         self._home.abort(
-            message.workspace, message.operation_id, message.nonce
+            message.workspace,
+            message.operation_id,
+            message.nonce,
+            monotonic_ms=self._runtime.clock.monotonic() * 1000,
         )
         self._wake((message.workspace, message.operation_id))
 
@@ -188,10 +192,12 @@
             return _unreachable()
         clock = self._runtime.clock
         wall_s = clock.wall()
-        since_wall_s = wall_s - (clock.monotonic() - since)
+        monotonic_s = clock.monotonic()
+        since_wall_s = wall_s - (monotonic_s - since)
         return self._home.begin(
             message,
             now_ms=int(wall_s * 1000),
+            monotonic_ms=monotonic_s * 1000,
             since_ms=math.ceil(since_wall_s * 1000),
             nonce=1 + secrets.randbits(_NONCE_BITS),
         )
--- a/tests/core/test_operation.py
+++ b/tests/core/test_operation.py
@@ -35,12 +35,18 @@
     text: str,
     *,
     now_ms: int,
+    monotonic_ms: float | None = None,
     since_ms: int = 0,
     nonce: int = 1,
     digest: bytes = b'd',
 ) -> OperationStatus:
-    message = BeginOperation('east', text, digest, 0)
-    return home.begin(message, now_ms=now_ms, since_ms=since_ms, nonce=nonce)
+    return home.begin(
+        BeginOperation('east', text, digest, 0),
+        now_ms=now_ms,
+        monotonic_ms=now_ms if monotonic_ms is None else monotonic_ms,
+        since_ms=since_ms,
+        nonce=nonce,
+    )
 
 
 class OperationMachine(RuleBasedStateMachine):
@@ -48,7 +54,8 @@
 
     The oracle counts the runs of each id. A start that an entry has been
     given may run late, is aborted only if it did not run, and messages to
-    the home are lost, repeated and delivered late.
+    the home are lost, repeated and delivered late. Questions wait in slow
+    links; an entry does not use a start that comes after its timeout.
     """
 
     @initialize(skew_ms=skews)
@@ -60,6 +67,9 @@
         self.unused: dict[int, str] = {}
         self.ran: dict[int, str] = {}
         self.aborting: dict[int, str] = {}
+        self.questions: list[tuple[str, int]] = []
+        self.told_not_run_ms: dict[str, int] = {}
+        self.told_ahead: set[str] = set()
         self.last_nonce = 0
         self.replace_home(skew_ms)
         self.wait(1001 - skew_ms)
@@ -75,6 +85,10 @@
         self.skew_ms = skew_ms
         self.home = OperationHome(LIMITS)
         self.since_ms = self.true_ms + skew_ms
+        # Only a caller whose clock is beyond the bounds is told so.
+        for text in self.told_ahead:
+            self.told_not_run_ms.pop(text, None)
+        self.told_ahead.clear()
 
     @rule(passed_ms=waits)
     def wait(self, passed_ms: int) -> None:
@@ -108,11 +122,28 @@
     @rule(index=ids, digest=st.sampled_from([b'd', b'd', b'd', b'e']))
     def ask(self, index: int, digest: bytes) -> None:
         text = self.texts[-1 - index % len(self.texts)]
+        self.deliver_question(text, self.true_ms, digest)
+
+    @precondition(lambda self: self.texts)
+    @rule(index=ids)
+    def send_question(self, index: int) -> None:
+        """Send a question that arrives late, perhaps after a resend."""
+        text = self.texts[-1 - index % len(self.texts)]
+        self.questions.append((text, self.true_ms))
+
+    @precondition(lambda self: self.questions)
+    @rule(index=ids)
+    def deliver_late(self, index: int) -> None:
+        text, sent_ms = self.questions.pop(index % len(self.questions))
+        self.deliver_question(text, sent_ms, b'd')
+
+    def deliver_question(self, text: str, sent_ms: int, digest: bytes) -> None:
         self.last_nonce += 1
         status = _begin(
             self.home,
             text,
             now_ms=self.true_ms + self.skew_ms,
+            monotonic_ms=self.true_ms,
             since_ms=self.since_ms,
             nonce=self.last_nonce,
             digest=digest,
@@ -120,8 +151,20 @@
         if status.state == 'started':
             assert not self.runs.get(text), 'a second start of a run id'
             assert text not in self.unused.values(), 'two open starts'
+            if self.true_ms - sent_ms > LIMITS.begin_timeout_ms:
+                # The entry tells its caller not-run.
+                self.aborting[self.last_nonce] = text
+                self.told_not_run_ms[text] = self.true_ms
+                self.told_ahead.discard(text)
+                return
+            assert sent_ms >= self.told_not_run_ms.get(text, 0), (
+                'an attempt starts that was sent before a not-run answer'
+            )
             self.unused[self.last_nonce] = text
         if status.state == 'refused':
+            self.told_not_run_ms[text] = self.true_ms
+            if status.reason is Reason.OPERATION_ID_AHEAD:
+                self.told_ahead.add(text)
             assert not self.runs.get(text), 'told not-run, but it ran'
             assert text not in self.unused.values()
         if status.state == 'finished':
@@ -140,14 +183,22 @@
     def give_up(self, index: int) -> None:
         """Send an abort, since the gate said not-run."""
         nonce = sorted(self.unused)[index % len(self.unused)]
-        self.aborting[nonce] = self.unused.pop(nonce)
+        text = self.unused.pop(nonce)
+        self.aborting[nonce] = text
+        self.told_not_run_ms[text] = self.true_ms
+        self.told_ahead.discard(text)
 
     @precondition(lambda self: self.aborting)
     @rule(index=st.integers(0, 9))
     def deliver_abort(self, index: int) -> None:
         """Deliver an abort, perhaps late, perhaps once more."""
         nonce = sorted(self.aborting)[index % len(self.aborting)]
-        self.home.abort('east', self.aborting[nonce], nonce)
+        self.abort(nonce)
+
+    def abort(self, nonce: int) -> None:
+        self.home.abort(
+            'east', self.aborting[nonce], nonce, monotonic_ms=self.true_ms
+        )
 
     @precondition(lambda self: self.ran)
     @rule(index=ids)
@@ -179,12 +230,25 @@
         """Let an abort come once more after the id was started again."""
         self.ask_and_give_up(index, b'd')
         for nonce in sorted(self.aborting):
-            self.home.abort('east', self.aborting[nonce], nonce)
+            self.abort(nonce)
+        self.wait(LIMITS.begin_timeout_ms + 1)
         self.ask(index, b'd')
         for nonce in sorted(self.aborting):
-            self.home.abort('east', self.aborting[nonce], nonce)
+            self.abort(nonce)
         self.ask(index, b'd')
 
+    @precondition(lambda self: self.texts)
+    @rule(index=ids, passed_ms=waits)
+    def overtake(self, index: int, passed_ms: int) -> None:
+        """Let a resend be told not-run before an older question arrives."""
+        self.send_question(index)
+        self.wait(1)
+        self.ask_and_give_up(index, b'd')
+        for nonce in sorted(self.aborting):
+            self.abort(nonce)
+        self.wait(passed_ms)
+        self.deliver_late(len(self.questions) - 1)
+
     @invariant()
     def at_most_once(self) -> None:
         assert all(count <= 1 for count in getattr(self, 'runs', {}).values())
@@ -218,6 +282,24 @@
     assert states[-1].state == 'refused'
     assert states[-1].reason is Reason.OPERATION_HOME_FULL
     assert _begin(home, texts[0], now_ms=START_MS).state == 'in-progress'
+    # A held-up attempt of the refused id does not start when there is room.
+    assert home.abort('east', texts[0], 1, monotonic_ms=START_MS)
+    within = START_MS + LIMITS.begin_timeout_ms
+    assert _begin(home, texts[-1], now_ms=within).state == 'in-progress'
+    assert _begin(home, texts[-1], now_ms=within + 1).state == 'started'
+
+
+def test_question_sent_before_a_not_run_answer_does_not_start() -> None:
+    """Guards against an abandoned attempt that runs after its resend."""
+    home = OperationHome(LIMITS)
+    text = _mint(START_MS)
+    assert _begin(home, text, now_ms=START_MS).state == 'started'
+    assert home.abort('east', text, 1, monotonic_ms=START_MS)
+    within = START_MS + LIMITS.begin_timeout_ms
+    # A step of the wall clock does not shorten the time.
+    stepped = _begin(home, text, now_ms=within + 400, monotonic_ms=within)
+    assert stepped.state == 'in-progress'
+    assert _begin(home, text, now_ms=within + 1).state == 'started'
 
 
 def test_clock_that_steps_back_brings_no_forgotten_id_to_life() -> None:
--- a/tests/daemon/test_operation_service.py
+++ b/tests/daemon/test_operation_service.py
@@ -10,9 +10,11 @@
 from turmericrouter_core.errors import LinkLostError
 from turmericrouter_core.identity import OperationId
 from turmericrouter_core.messages import AbortOperation
+from turmericrouter_core.messages import BeginOperation
 from turmericrouter_core.messages import Done
 from turmericrouter_core.messages import FinishOperation
 from turmericrouter_core.messages import OperationStatus
+from turmericrouter_core.operation import body_digest
 from turmericrouter_core.routing import NamedRoute
 from turmericrouter_core.verdict import Importance
 from turmericrouter_core.verdict import Reason
@@ -30,6 +32,8 @@
 from turmericrouter_daemon.timers import SystemClock
 
 SERVED = Answer(Verdict.RAN, Reason.SERVED, 200, body=b'done')
+TIMEOUT_MS = 50
+TIMEOUT_S = TIMEOUT_MS / 1000
 STARTED = OperationStatus('started', Reason.SERVED, nonce=7)
 
 
@@ -56,14 +60,25 @@
         self.sent.append(message)
 
 
-def _service(peers: _Peers, home: str = 'home') -> OperationService:
+class _Clock(SystemClock):
+    """Monotonic time that a test sets."""
+
+    now_s = 1000.0
+
+    def monotonic(self) -> float:
+        return self.now_s
+
+
+def _service(
+    peers: _Peers, home: str = 'home', clock: SystemClock | None = None
+) -> OperationService:
     settings = Settings(
         HostSettings('127.0.0.1', 'north', 1, 2, 3, 4),
         PlatformSettings('http://127.0.0.1'),
-        operation=OperationSettings(home_timeout_ms=50),
+        operation=OperationSettings(home_timeout_ms=TIMEOUT_MS),
     )
     runtime: Any = mock.Mock(
-        settings=settings, clock=SystemClock(), address='own'
+        settings=settings, clock=clock or SystemClock(), address='own'
     )
     config: Any = mock.Mock()
     config.state.fleet = Fleet(('north',))
@@ -181,10 +196,77 @@
     asyncio.run(check())
 
 
-def _dispatch_runtime() -> Any:
-    runtime = mock.Mock(rng=random.Random(1))
+def test_held_up_question_does_not_start_after_not_run() -> None:
+    """Guards against an abandoned attempt that runs after its resend."""
+
+    async def check() -> None:
+        clock = _Clock()
+        service = _service(_Peers(), home='own', clock=clock)
+        call = _call()
+        assert call.operation is not None
+        # Sent by another entry before the resend, held up in its link.
+        question = BeginOperation(
+            'ward',
+            call.operation.text,
+            body_digest(call.method, call.path, call.body),
+            0,
+        )
+        nonce = await service.begin(call)
+        assert isinstance(nonce, int)
+        waiting = asyncio.create_task(service.handle_begin(question, None))
+        await asyncio.sleep(0)
+        await service.finish(call, nonce, refuse(Reason.SHED_AT_GATE))
+        clock.now_s += TIMEOUT_S / 2
+        assert (await waiting).state == 'in-progress'
+        clock.now_s += TIMEOUT_S
+        async with asyncio.timeout(10):
+            assert isinstance(await service.begin(call), int)
+
+    asyncio.run(check())
+
+
+def _dispatcher(
+    operations: Any, quota: Any, clock: SystemClock | None = None
+) -> Dispatcher:
+    runtime: Any = mock.Mock(
+        rng=random.Random(1), clock=clock or SystemClock()
+    )
     runtime.settings.overload = OverloadSettings()
-    return runtime
+    runtime.settings.operation = OperationSettings(home_timeout_ms=TIMEOUT_MS)
+    return Dispatcher(
+        runtime,
+        mock.Mock(),
+        mock.Mock(),
+        mock.Mock(),
+        mock.Mock(),
+        quota,
+        operations,
+        mock.Mock(),
+    )
+
+
+def test_late_start_is_not_dispatched() -> None:
+    """Guards against a start used after the home let the id start again."""
+
+    async def check() -> None:
+        async def begin(call: Call) -> int:
+            # The process is paused while the reply waits in its socket.
+            clock.now_s += TIMEOUT_S + 0.001
+            return 7
+
+        clock = _Clock()
+
+        operations: Any = mock.AsyncMock()
+        operations.begin = begin
+        quota: Any = mock.AsyncMock()
+        dispatcher = _dispatcher(operations, quota, clock)
+        answer = await dispatcher.serve(_call())
+        assert answer.verdict is Verdict.NOT_RUN
+        assert answer.reason is Reason.OPERATION_HOME_UNREACHABLE
+        quota.acquire.assert_not_awaited()
+        assert operations.finish.await_args.args[1:] == (7, answer)
+
+    asyncio.run(check())
 
 
 def test_bookkeeping_ends_although_the_caller_disconnects() -> None:
@@ -193,16 +275,7 @@
     async def check() -> None:
         operations: Any = mock.AsyncMock()
         operations.begin.return_value = 7
-        dispatcher = Dispatcher(
-            _dispatch_runtime(),
-            mock.Mock(),
-            mock.Mock(),
-            mock.Mock(),
-            mock.Mock(),
-            mock.AsyncMock(),
-            operations,
-            mock.Mock(),
-        )
+        dispatcher = _dispatcher(operations, mock.AsyncMock())
         release = asyncio.Event()
 
         async def serve(call: Call) -> Answer:
@@ -235,16 +308,7 @@
         operations: Any = mock.AsyncMock()
         operations.begin = begin
         quota: Any = mock.AsyncMock()
-        dispatcher = Dispatcher(
-            _dispatch_runtime(),
-            mock.Mock(),
-            mock.Mock(),
-            mock.Mock(),
-            mock.Mock(),
-            quota,
-            operations,
-            mock.Mock(),
-        )
+        dispatcher = _dispatcher(operations, quota)
         request = asyncio.create_task(dispatcher.serve(_call()))
         await asyncio.sleep(0.01)
         request.cancel()
