Share the set-up of system tests that have the same fleet

Cause: test_config and test_membership repeated their fleet, their configuration and their waits, test_quarantine and test_retries their configuration.

Ruled out: a fixture; the fleets run inside asyncio.run and differ in their settings, so plain functions are shorter.

Conclusion: none but shorter files.

--- a/tests/system/test_config.py
+++ b/tests/system/test_config.py
@@ -7,39 +7,25 @@
 
 import aiohttp
 
-from turmericrouter_core.config import Fleet as FleetRecord
+from system_fleet import configuration
+from system_fleet import design_fleet
+from system_fleet import DOMAINS
+from system_fleet import KEY
+from system_fleet import PATIENCE_S
 from turmericrouter_core.config import Key
 from turmericrouter_core.config import Retirement
 from turmericrouter_core.config import Route
 from turmericrouter_core.config import StaleRule
-from turmericrouter_core.config import Value
-from turmericrouter_core.config import Workspace
 from turmericrouter_standins.fleet import digest_scope
 from turmericrouter_standins.fleet import Fleet
 from turmericrouter_standins.host import Host
-from turmericrouter_standins.host import ServiceSpec
 
-KEY = 'key-of-east'
 OTHER_KEY = 'key-of-west'
-DOMAINS = ('north', 'south')
-# A step that did not happen within this time counts as a failure; it bounds
-# the test, not the product.
-PATIENCE_S = 30.0
-VALUES: dict[str, Value | None] = {
-    'fleet': FleetRecord(domains=DOMAINS),
-    'workspace/east': Workspace(rate_per_s=1000, burst=1000),
-    digest_scope(KEY): Key('east'),
-    digest_scope(OTHER_KEY): Key('east'),
-    'route/plots': Route('design', '/plots', timeout_ms=2000),
-    'route/strict': Route('design', '/strict', on_stale=StaleRule.REFUSE),
-}
-
-
-def _fleet(
-    directory: pathlib.Path, *, links: bool = False, **settings
-) -> Fleet:
-    services = [ServiceSpec('design', per_domain=2)]
-    return Fleet(directory, DOMAINS, services, settings=settings, links=links)
+VALUES = configuration(
+    DOMAINS,
+    plots=Route('design', '/plots', timeout_ms=2000),
+    strict=Route('design', '/strict', on_stale=StaleRule.REFUSE),
+) | {digest_scope(OTHER_KEY): Key('east')}
 
 
 async def _until(fleet: Fleet, host: Host, path: str, key: str, status: int):
@@ -70,7 +56,7 @@
 
 
 async def _check_publications(directory: pathlib.Path) -> None:
-    async with _fleet(directory) as fleet:
+    async with design_fleet(directory) as fleet:
         await fleet.publish(VALUES)
         await fleet.wait_served('/plots', key=KEY)
         await fleet.publish({'route/late': Route('design', '/late')})
@@ -109,7 +95,7 @@
 
 
 async def _check_log_down(directory: pathlib.Path) -> None:
-    fleet = _fleet(directory, config={'stale_after_s': 3.0})
+    fleet = design_fleet(directory, config={'stale_after_s': 3.0})
     _with_seeds(fleet)
     async with fleet:
         await fleet.publish(VALUES)
@@ -138,7 +124,7 @@
 
 
 async def _check_cut(directory: pathlib.Path) -> None:
-    fleet = _fleet(directory, links=True, config={'stale_after_s': 4.0})
+    fleet = design_fleet(directory, links=True, config={'stale_after_s': 4.0})
     async with fleet:
         await fleet.publish(VALUES)
         await fleet.wait_served('/strict', key=KEY)
@@ -173,7 +159,7 @@
 
 
 async def _check_retention(directory: pathlib.Path) -> None:
-    fleet = _fleet(directory, platform={'retention_s': 4.0})
+    fleet = design_fleet(directory, platform={'retention_s': 4.0})
     newcomer = fleet.hosts[-1]
     async with fleet:
         newcomer.daemon.kill()
@@ -194,7 +180,7 @@
 
 
 async def _check_retired(directory: pathlib.Path) -> None:
-    async with _fleet(directory) as fleet:
+    async with design_fleet(directory) as fleet:
         await fleet.publish(VALUES)
         await fleet.wait_served('/plots', key=KEY)
         retired = fleet.hosts[0]
--- a/tests/system/test_membership.py
+++ b/tests/system/test_membership.py
@@ -1,62 +1,50 @@
 """Daemons that die, come back or leave, seen from the others."""
 
 import asyncio
+import functools
 import pathlib
 import signal
 import time
 
-from turmericrouter_core.config import Fleet as FleetRecord
-from turmericrouter_core.config import Key
+from system_fleet import configuration
+from system_fleet import design_fleet
+from system_fleet import DOMAINS
+from system_fleet import KEY
+from system_fleet import logged
+from system_fleet import PATIENCE_S
+from system_fleet import wait_until
 from turmericrouter_core.config import Route
-from turmericrouter_core.config import Value
-from turmericrouter_core.config import Workspace
-from turmericrouter_standins.fleet import digest_scope
 from turmericrouter_standins.fleet import Fleet
 from turmericrouter_standins.host import Host
-from turmericrouter_standins.host import ServiceSpec
 
-KEY = 'key-of-east'
-DOMAINS = ('north', 'south')
-PATIENCE_S = 30.0
-VALUES: dict[str, Value | None] = {
-    'fleet': FleetRecord(domains=DOMAINS),
-    'workspace/east': Workspace(rate_per_s=1000, burst=1000),
-    digest_scope(KEY): Key('east'),
-    'route/plots': Route('design', '/plots'),
-}
-
-
-def _fleet(directory: pathlib.Path) -> Fleet:
-    services = [ServiceSpec('design', per_domain=2)]
-    secret = {'secret': 'shared-by-the-fleet'}
-    return Fleet(directory, DOMAINS, services, settings={'membership': secret})
+VALUES = configuration(DOMAINS, plots=Route('design', '/plots'))
+SECRET = {'secret': 'shared-by-the-fleet'}
 
 
 def _changes(host: Host, member: Host) -> list[dict[str, str]]:
     """Return the changes of a member's entry that a daemon has logged."""
-    lines = host.daemon.output.read_text().splitlines()
-    pairs = [
-        dict(part.partition('=')[::2] for part in line.split())
-        for line in lines
-        if 'event=directory_changed' in line
+    return [
+        fields
+        for fields in logged(host, 'directory_changed')
+        if fields['member'] == member.address
     ]
-    return [p for p in pairs if p['member'] == member.address]
+
+
+def _is_seen(host: Host, member: Host, field: str, value: str) -> bool:
+    changes = _changes(host, member)
+    return bool(changes) and changes[-1][field] == value
 
 
 async def _wait_seen(
     fleet: Fleet, member: Host, field: str, value: str
 ) -> None:
     """Wait until the other running daemons see a member in a state."""
-    deadline = time.monotonic() + PATIENCE_S
     for host in fleet.hosts:
-        if host is member or not host.daemon.is_running:
-            continue
-        while True:
-            changes = _changes(host, member)
-            if changes and changes[-1][field] == value:
-                break
-            assert time.monotonic() < deadline, (host.name, changes)
-            await asyncio.sleep(0.1)
+        if host is not member and host.daemon.is_running:
+            await wait_until(
+                functools.partial(_is_seen, host, member, field, value),
+                (host.name, member.name, field, value),
+            )
 
 
 async def _wait_ready(fleet: Fleet) -> None:
@@ -68,7 +56,7 @@
 
 
 async def _check_kill(directory: pathlib.Path) -> None:
-    async with _fleet(directory) as fleet:
+    async with design_fleet(directory, membership=SECRET) as fleet:
         await _wait_ready(fleet)
         killed = fleet.hosts[0]
         killed.daemon.kill()
@@ -84,7 +72,7 @@
 
 
 async def _check_pause(directory: pathlib.Path) -> None:
-    async with _fleet(directory) as fleet:
+    async with design_fleet(directory, membership=SECRET) as fleet:
         await _wait_ready(fleet)
         paused = fleet.hosts[0]
         paused.daemon.send_signal(signal.SIGSTOP)
@@ -97,7 +85,7 @@
 
 
 async def _check_stop(directory: pathlib.Path) -> None:
-    async with _fleet(directory) as fleet:
+    async with design_fleet(directory, membership=SECRET) as fleet:
         await _wait_ready(fleet)
         stopped = fleet.hosts[0]
         stopped.daemon.send_signal(signal.SIGTERM)
@@ -114,7 +102,7 @@
 
 
 async def _check_leave(directory: pathlib.Path) -> None:
-    async with _fleet(directory) as fleet:
+    async with design_fleet(directory, membership=SECRET) as fleet:
         await _wait_ready(fleet)
         leaving = fleet.hosts[0]
         # Calls at the same time go to more than the fastest target.
--- a/tests/system/test_quarantine.py
+++ b/tests/system/test_quarantine.py
@@ -3,23 +3,14 @@
 import asyncio
 import pathlib
 
-from turmericrouter_core.config import Fleet as FleetRecord
-from turmericrouter_core.config import Key
+from system_fleet import configuration
+from system_fleet import KEY
 from turmericrouter_core.config import Route
-from turmericrouter_core.config import Value
-from turmericrouter_core.config import Workspace
-from turmericrouter_standins.fleet import digest_scope
 from turmericrouter_standins.fleet import Fleet
 from turmericrouter_standins.host import Host
 from turmericrouter_standins.host import ServiceSpec
 
-KEY = 'key-of-the-guild-hall'
-VALUES: dict[str, Value | None] = {
-    'fleet': FleetRecord(domains=('north',)),
-    'workspace/east': Workspace(rate_per_s=1000, burst=1000),
-    digest_scope(KEY): Key('east'),
-    'route/works': Route('works', '/works'),
-}
+VALUES = configuration(['north'], works=Route('works', '/works'))
 CRASH = '/works/1?crash=1'
 
 
--- a/tests/system/test_retries.py
+++ b/tests/system/test_retries.py
@@ -7,27 +7,21 @@
 import aiohttp
 from aiohttp import web
 
-from turmericrouter_core.config import Fleet as FleetRecord
-from turmericrouter_core.config import Key
+from system_fleet import configuration
+from system_fleet import KEY
 from turmericrouter_core.config import Route
-from turmericrouter_core.config import Value
-from turmericrouter_core.config import Workspace
-from turmericrouter_standins.fleet import digest_scope
 from turmericrouter_standins.fleet import Fleet
 from turmericrouter_standins.host import LOCAL_PORT
 from turmericrouter_standins.host import ServiceSpec
 
-KEY = 'key-of-the-tile-setters'
 DEPTH = 11
 TRIES = 3
 ALLOWANCE = 2
-VALUES: dict[str, Value | None] = {
-    'fleet': FleetRecord(domains=('north',)),
-    'workspace/east': Workspace(rate_per_s=1000, burst=1000),
-    digest_scope(KEY): Key('east'),
-    'route/works': Route('works', '/works'),
-    'route/chain': Route('chain', '/chain'),
-}
+VALUES = configuration(
+    ['north'],
+    works=Route('works', '/works'),
+    chain=Route('chain', '/chain'),
+)
 
 
 class _Chain:
