Count failed requests of a trial by status and reason

Cause: the fairness experiment reports a ratio of refusals, but not why the requests were refused, and a client's timeout counts like a refusal.

Ruled out: a field for the kind of failure in the rows that load processes write; status and reason already tell it.

The ratio, the share and the over-admission ratio are computed from the same attempts as before.

Conclusion: an attempt names its failure: refused, answer-invalid, client-timeout or connection-error. A trial also returns useful answers a second by time step, for a plot.

--- a/packages/standins/src/turmericrouter_standins/fairness.py
+++ b/packages/standins/src/turmericrouter_standins/fairness.py
@@ -1,13 +1,17 @@
 """Quota experiments: fair shares, wrongful refusals, over-admission."""
 
+from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
+import itertools
 import pathlib
 
 from turmericrouter_standins.fleet import Fleet
 from turmericrouter_standins.host import SettingsTree
 from turmericrouter_standins.ledger import LedgerEntry
 from turmericrouter_standins.load import Attempt
+from turmericrouter_standins.load import count_failures
+from turmericrouter_standins.load import FailureCount
 from turmericrouter_standins.load import Flow
 from turmericrouter_standins.load import Phase
 from turmericrouter_standins.scenario import Scenario
@@ -32,12 +36,16 @@
             worst-served workspace within its rate.
         wrongful_refusal_ratio: Refusals over requests of workspaces
             within their rate, whatever the reason.
+        requests_within_rate: Requests of workspaces within their rate.
+        failures: Those of them without a useful answer, by reason.
         overadmission_ratio: Requests started over rate * t + burst, in
             the worst window of any workspace.
     """
 
     worst_workspace_share: float
     wrongful_refusal_ratio: float
+    requests_within_rate: int
+    failures: tuple[FailureCount, ...]
     overadmission_ratio: float
 
 
@@ -106,28 +114,40 @@
         events=events,
         settings=settings,
     )
-    return _evaluate(result, rates, flooder)
+    return evaluate(result, rates, flooder)
 
 
-def _evaluate(
-    result: TrialResult, rates: dict[str, float], flooder: str
+def evaluate(
+    result: TrialResult, rates: Mapping[str, float], flooder: str
 ) -> FairnessResult:
-    asked = dict.fromkeys(rates, 0)
-    served = dict.fromkeys(rates, 0)
-    for attempt in result.attempts:
-        if attempt.sent_at - result.started_at >= WARM_UP_S:
-            asked[attempt.flow] += 1
-            served[attempt.flow] += attempt.is_served
-    shares = {
-        name: served[name] / asked[name]
-        for name in rates
-        if name != flooder and asked[name]
+    """Return the figures of a trial.
+
+    Args:
+        result: What came of the trial.
+        rates: Rate of each workspace.
+        flooder: Workspace that exceeds its rate, empty if none does.
+    """
+    within: dict[str, list[Attempt]] = {
+        name: [] for name in rates if name != flooder
     }
-    within = [name for name in rates if name != flooder]
-    refused = sum(asked[name] - served[name] for name in within)
+    for attempt in result.attempts:
+        if (
+            attempt.flow in within
+            and attempt.sent_at - result.started_at >= WARM_UP_S
+        ):
+            within[attempt.flow].append(attempt)
+    shares = [
+        sum(attempt.is_served for attempt in attempts) / len(attempts)
+        for attempts in within.values()
+        if attempts
+    ]
+    requests = sum(len(attempts) for attempts in within.values())
+    failures = count_failures(itertools.chain.from_iterable(within.values()))
     return FairnessResult(
-        worst_workspace_share=min(shares.values()),
-        wrongful_refusal_ratio=refused / sum(asked[name] for name in within),
+        worst_workspace_share=min(shares),
+        wrongful_refusal_ratio=sum(f.count for f in failures) / requests,
+        requests_within_rate=requests,
+        failures=failures,
         overadmission_ratio=max(
             overadmission(result.attempts, result.ledger, name, rate, rate)
             for name, rate in rates.items()
--- a/packages/standins/src/turmericrouter_standins/load.py
+++ b/packages/standins/src/turmericrouter_standins/load.py
@@ -8,6 +8,9 @@
 
 import argparse
 import asyncio
+import collections
+from collections.abc import Iterable
+import enum
 import gc
 import hashlib
 import json
@@ -88,6 +91,33 @@
     flows: tuple[Flow, ...]
 
 
+class Failure(enum.StrEnum):
+    """Why an attempt got no useful answer."""
+
+    # An answer that says that the request was not served.
+    REFUSED = 'refused'
+    # An answer that claims success, but is cut or another caller's.
+    ANSWER_INVALID = 'answer-invalid'
+    CLIENT_TIMEOUT = 'client-timeout'
+    CONNECTION_ERROR = 'connection-error'
+
+
+class FailureCount(msgspec.Struct, frozen=True):
+    """Attempts that failed alike.
+
+    Args:
+        failure: Why they got no useful answer.
+        status: HTTP status, 0 without an answer.
+        reason: Reason header, or the client's error.
+        count: Number of attempts.
+    """
+
+    failure: Failure
+    status: int
+    reason: str
+    count: int
+
+
 class Attempt(msgspec.Struct, frozen=True, array_like=True):
     """One attempt of a caller.
 
@@ -126,6 +156,37 @@
         """Return whether the caller got a useful answer."""
         return self.status == 200 and self.whole
 
+    @property
+    def failure(self) -> Failure | None:
+        """Return why there was no useful answer, none if there was one."""
+        if self.is_served:
+            return None
+        if self.status == 200:
+            return Failure.ANSWER_INVALID
+        if self.status != NO_ANSWER:
+            return Failure.REFUSED
+        # aiohttp has several errors for timeouts; all their names end so.
+        if self.reason.endswith('TimeoutError'):
+            return Failure.CLIENT_TIMEOUT
+        return Failure.CONNECTION_ERROR
+
+
+def count_failures(attempts: Iterable[Attempt]) -> tuple[FailureCount, ...]:
+    """Count failed attempts by kind, status and reason, most frequent first.
+
+    Args:
+        attempts: Attempts, served ones among them.
+    """
+    counts = collections.Counter(
+        (attempt.failure, attempt.status, attempt.reason)
+        for attempt in attempts
+        if attempt.failure is not None
+    )
+    return tuple(
+        FailureCount(failure, status, reason, count)
+        for (failure, status, reason), count in counts.most_common()
+    )
+
 
 class LoadGenerator:
     """Runs all flows of a specification.
--- a/packages/standins/src/turmericrouter_standins/trial.py
+++ b/packages/standins/src/turmericrouter_standins/trial.py
@@ -62,6 +62,30 @@
             for attempt in self.attempts
         )
 
+    def served_rates(
+        self, flows: Iterable[str], *, seconds: float, step_s: float
+    ) -> dict[float, float]:
+        """Return useful answers a second by the start of each time step.
+
+        Args:
+            flows: Names of the flows to count.
+            seconds: Length of the part of the trial to look at.
+            step_s: Length of a time step.
+        """
+        names = frozenset(flows)
+        counts = [0] * round(seconds / step_s)
+        for attempt in self.attempts:
+            step = int((attempt.ended_at - self.started_at) // step_s)
+            if (
+                attempt.is_served
+                and attempt.flow in names
+                and 0 <= step < len(counts)
+            ):
+                counts[step] += 1
+        return {
+            step * step_s: count / step_s for step, count in enumerate(counts)
+        }
+
 
 def split_flow(flow: Flow, parts: int) -> list[Flow]:
     """Split a flow's rate over several load processes."""
--- /dev/null
+++ b/tests/standins/test_trial_figures.py
@@ -0,0 +1,129 @@
+"""Guards against figures of trials that count the wrong attempts."""
+
+from collections.abc import Sequence
+
+import pytest
+
+from turmericrouter_standins.fairness import evaluate
+from turmericrouter_standins.fairness import WARM_UP_S
+from turmericrouter_standins.ledger import LedgerEntry
+from turmericrouter_standins.load import Attempt
+from turmericrouter_standins.load import count_failures
+from turmericrouter_standins.load import Failure
+from turmericrouter_standins.load import FailureCount
+from turmericrouter_standins.trial import TrialResult
+
+_STARTED_AT = 1000.0
+_QUOTA = 'quota-exceeded'
+
+
+def _attempt(
+    status: int = 200,
+    reason: str = '',
+    *,
+    flow: str = 'east',
+    second: float = WARM_UP_S,
+    whole: bool = True,
+) -> Attempt:
+    sent_at = _STARTED_AT + second
+    return Attempt(
+        flow,
+        0,
+        0,
+        sent_at,
+        sent_at + 0.1,
+        status,
+        '',
+        reason,
+        whole and status == 200,
+        f'{flow}{second}',
+        '',
+        'http://entry',
+        '',
+    )
+
+
+def _trial(attempts: Sequence[Attempt]) -> TrialResult:
+    ledger = [
+        LedgerEntry(
+            at=attempt.sent_at,
+            method='GET',
+            tag=attempt.tag,
+            operation='',
+            workspace=attempt.flow,
+            request_id='',
+            path='/',
+        )
+        for attempt in attempts
+        if attempt.is_served
+    ]
+    return TrialResult(_STARTED_AT, attempts, ledger)
+
+
+@pytest.mark.parametrize(
+    ('attempt', 'failure'),
+    [
+        (_attempt(), None),
+        (_attempt(whole=False), Failure.ANSWER_INVALID),
+        (_attempt(429, _QUOTA), Failure.REFUSED),
+        # A target's own refusal passes through without a reason.
+        (_attempt(503), Failure.REFUSED),
+        (_attempt(504, 'deadline-expired'), Failure.REFUSED),
+        (_attempt(0, 'TimeoutError'), Failure.CLIENT_TIMEOUT),
+        (_attempt(0, 'ConnectionTimeoutError'), Failure.CLIENT_TIMEOUT),
+        (_attempt(0, 'ClientConnectorError'), Failure.CONNECTION_ERROR),
+        (_attempt(0, 'ServerDisconnectedError'), Failure.CONNECTION_ERROR),
+    ],
+)
+def test_refusal_differs_from_a_missing_answer(
+    attempt: Attempt, failure: Failure | None
+) -> None:
+    assert attempt.failure is failure
+
+
+def test_failures_are_counted_by_status_and_reason() -> None:
+    attempts = [
+        _attempt(),
+        _attempt(0, 'TimeoutError'),
+        *[_attempt(429, _QUOTA)] * 3,
+        *[_attempt(503, 'no-room')] * 2,
+    ]
+    assert count_failures(attempts) == (
+        FailureCount(Failure.REFUSED, 429, _QUOTA, 3),
+        FailureCount(Failure.REFUSED, 503, 'no-room', 2),
+        FailureCount(Failure.CLIENT_TIMEOUT, 0, 'TimeoutError', 1),
+    )
+
+
+def test_fairness_looks_at_warm_workspaces_within_their_rate() -> None:
+    attempts = [
+        *[_attempt()] * 6,
+        _attempt(429, _QUOTA),
+        _attempt(0, 'TimeoutError'),
+        *[_attempt(flow='west')] * 2,
+        _attempt(429, _QUOTA, second=WARM_UP_S - 0.1),
+        _attempt(429, _QUOTA, flow='flooder'),
+    ]
+    rates = {'east': 10.0, 'west': 10.0, 'flooder': 20.0}
+    found = evaluate(_trial(attempts), rates, 'flooder')
+    assert found.requests_within_rate == 10
+    assert found.wrongful_refusal_ratio == 0.2
+    assert found.worst_workspace_share == 0.75
+    assert found.failures == (
+        FailureCount(Failure.REFUSED, 429, _QUOTA, 1),
+        FailureCount(Failure.CLIENT_TIMEOUT, 0, 'TimeoutError', 1),
+    )
+
+
+def test_served_rates_show_pauses_and_leave_out_other_flows() -> None:
+    trial = _trial(
+        [
+            *[_attempt(second=0.2)] * 2,
+            _attempt(503, second=0.2),
+            _attempt(flow='west', second=0.2),
+            _attempt(second=1.2),
+            _attempt(second=2.0),
+        ]
+    )
+    rates = trial.served_rates(['east'], seconds=2.0, step_s=0.5)
+    assert rates == {0.0: 4.0, 0.5: 0.0, 1.0: 2.0, 1.5: 0.0}
