Draw plots of the experiments and link them in the summary

Ruled out: bare dicts of series beside the figures; each kind of plot is a frozen data class that draws itself. Labels as outlines, matplotlib's default; as text they can be searched, which the tests do. Plot data in summary.json; the figures would be hard to find among them.

Conclusion: an experiment returns an ExperimentResult of figures, plots and counts of failed requests. summary.md links the plots and lists the failures of each fairness trial. The goals of latency and control cost are numbers that the table and the plots share.

--- a/packages/standins/src/turmericrouter_standins/experiments.py
+++ b/packages/standins/src/turmericrouter_standins/experiments.py
@@ -3,10 +3,12 @@
 import argparse
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 import pathlib
 import shutil
 import time
+from typing import Any
 
 import uvloop
 
@@ -14,30 +16,46 @@
 from turmericrouter_core.config import Key
 from turmericrouter_core.config import Route
 from turmericrouter_core.config import Workspace
+from turmericrouter_standins.control_cost import ControlCost
 from turmericrouter_standins.control_cost import measure_control_cost
 from turmericrouter_standins.fairness import measure_fairness
 from turmericrouter_standins.fleet import digest_scope
 from turmericrouter_standins.fleet import Fleet
 from turmericrouter_standins.host import ServiceSpec
+from turmericrouter_standins.latency import AddedLatency
 from turmericrouter_standins.latency import measure_added_latency
+from turmericrouter_standins.overload import BEFORE_S
 from turmericrouter_standins.overload import measure_overload
+from turmericrouter_standins.overload import OverloadResult
+from turmericrouter_standins.overload import SURGE_S
 from turmericrouter_standins.propagation import CHANGES_PER_S
 from turmericrouter_standins.propagation import measure_config_in_force
 from turmericrouter_standins.propagation import measure_key_withdrawn
 from turmericrouter_standins.propagation import percentile
 from turmericrouter_standins.report import command_line
+from turmericrouter_standins.report import CostPanel
+from turmericrouter_standins.report import CostPlot
+from turmericrouter_standins.report import ExperimentResult
 from turmericrouter_standins.report import Figure
+from turmericrouter_standins.report import merge_results
+from turmericrouter_standins.report import PercentilePlot
+from turmericrouter_standins.report import Plot
+from turmericrouter_standins.report import RatePlot
 from turmericrouter_standins.report import source_version
 from turmericrouter_standins.report import Summary
+from turmericrouter_standins.report import TrialFailures
 from turmericrouter_standins.report import write_report
 from turmericrouter_standins.scenario import load_scenario
 from turmericrouter_standins.scenario import Scenario
 from turmericrouter_standins.trial import BASELINE_SETTINGS
 
-Figures = dict[str, Figure]
+ADDED_LATENCY_GOAL_MS = 0.34
+CONTROL_GOAL_CPU_PERCENT = 2.9
+CONTROL_GOAL_BYTES_PER_S = 3000
+CONTROL_GOAL_RSS_MB = 128
 
 GOALS = {
-    'added_latency_p99_ms': 'at most 0.34',
+    'added_latency_p99_ms': f'at most {ADDED_LATENCY_GOAL_MS}',
     'goodput_ratio_10x': 'at least 0.95',
     'recovery_s': 'under 2',
     'worst_workspace_share': 'at least 0.95',
@@ -47,9 +65,15 @@
     'importance_inversions': '0',
     'config_in_force_p99_s': 'under 10, aim 2',
     'key_withdrawn_p99_s': 'within seconds',
-    'control_cpu_percent': 'at most 2.9 at 20,000 daemons, by slope',
-    'control_bytes_per_s': 'at most 3,000 at 20,000 daemons, by slope',
-    'control_rss_mb': 'at most 128 at 20,000 daemons, by slope',
+    'control_cpu_percent': (
+        f'at most {CONTROL_GOAL_CPU_PERCENT} at 20,000 daemons, by slope'
+    ),
+    'control_bytes_per_s': (
+        f'at most {CONTROL_GOAL_BYTES_PER_S:,} at 20,000 daemons, by slope'
+    ),
+    'control_rss_mb': (
+        f'at most {CONTROL_GOAL_RSS_MB} at 20,000 daemons, by slope'
+    ),
 }
 
 _LATENCY_CALLS = 3000
@@ -72,7 +96,7 @@
     seed: int
 
 
-async def run_latency(conditions: Conditions) -> Figures:
+async def run_latency(conditions: Conditions) -> ExperimentResult:
     """Measure added latency and processor time per call."""
     directory = conditions.directory / 'latency'
     directory.mkdir(parents=True)
@@ -94,7 +118,8 @@
             fleet.host('other-north-0'),
             fleet.host('served-north-0'),
         )
-        figures: Figures = {}
+        figures: dict[str, Figure] = {}
+        plots: dict[str, Plot] = {}
         for suffix, rate in (('', 0.0), ('_at_55_per_s', _DAEMON_RATE_PER_S)):
             calls = _LATENCY_CALLS if not rate else _LATENCY_CALLS // 3
             used = [host.daemon.cpu_s() for host in (entry, target)]
@@ -108,10 +133,15 @@
                 rate_per_s=rate,
                 seed=conditions.seed,
             )
-            figures[f'added_latency_p50_ms{suffix}'] = added.added_p50_ms
-            figures[f'added_latency_p99_ms{suffix}'] = added.added_p99_ms
-            figures[f'direct_latency_p50_ms{suffix}'] = added.direct_p50_ms
-            figures[f'direct_latency_p99_ms{suffix}'] = added.direct_p99_ms
+            for percent in (50, 99):
+                for kind, values in (
+                    ('added', added.added_ms),
+                    ('direct', added.direct_ms),
+                ):
+                    name = f'{kind}_latency_p{percent}_ms{suffix}'
+                    figures[name] = values[percent]
+            pace = f'{rate:g} calls a second' if rate else 'one call at a time'
+            plots[f'added_latency{suffix}'] = plot_latency(added, pace)
             if not rate:
                 # The warm-up calls are a tenth more.
                 sent = calls * 1.1
@@ -120,13 +150,29 @@
                 ):
                     spent_us = (host.daemon.cpu_s() - before) * 1e6
                     figures[f'cpu_us_per_call_{name}'] = spent_us / sent
-    return figures
+    return ExperimentResult(figures, plots)
 
 
-async def run_overload(conditions: Conditions) -> Figures:
+def plot_latency(added: AddedLatency, pace: str) -> PercentilePlot:
+    """Return the plot of direct and routed calls."""
+    return PercentilePlot(
+        f'Latency of calls, {pace}',
+        {
+            'direct': added.direct_ms,
+            'through two daemons': added.routed_ms,
+            'added': added.added_ms,
+        },
+        ADDED_LATENCY_GOAL_MS,
+        f'goal for added at p99, {ADDED_LATENCY_GOAL_MS} ms',
+    )
+
+
+async def run_overload(conditions: Conditions) -> ExperimentResult:
     """Measure goodput, recovery and inversions, with the baseline."""
-    figures: Figures = {}
+    figures: dict[str, Figure] = {}
+    plots: dict[str, Plot] = {}
     for factor in (2, 10):
+        results: dict[str, OverloadResult] = {}
         for suffix, settings in (
             ('', None),
             ('_baseline', BASELINE_SETTINGS),
@@ -138,6 +184,7 @@
                 seed=conditions.seed,
                 settings=settings,
             )
+            results[suffix] = result
             figures[f'goodput_ratio_{factor}x{suffix}'] = result.goodput_ratio
             if factor == 10:
                 figures[f'recovery_s{suffix}'] = result.recovery_s
@@ -148,14 +195,36 @@
                     result.critical_served
                 )
                 figures[f'low_served_10x{suffix}'] = result.low_served
-    return figures
+        plots[f'overload_{factor}x'] = plot_surge(
+            f'Surge of {factor}x the capacity, scenario '
+            f'{conditions.scenario.name}',
+            results[''],
+            results['_baseline'],
+        )
+    return ExperimentResult(figures, plots)
+
+
+def plot_surge(
+    title: str, ours: OverloadResult, baseline: OverloadResult
+) -> RatePlot:
+    """Return the plot of a surge with and without overload control."""
+    return RatePlot(
+        title,
+        {
+            'turmericrouter': ours.served_rates,
+            'baseline': baseline.served_rates,
+        },
+        {'surge starts': BEFORE_S, 'surge ends': BEFORE_S + SURGE_S},
+        ours.capacity_per_s,
+        'capacity',
+    )
 
 
 async def _platform_down(fleet: Fleet) -> None:
     await fleet.set_log_faults(down=True)
 
 
-async def run_fairness(conditions: Conditions) -> Figures:
+async def run_fairness(conditions: Conditions) -> ExperimentResult:
     """Measure fair shares, wrongful refusals and over-admission."""
     scenario = conditions.scenario
 
@@ -167,9 +236,10 @@
             cuts=[(first, other) for other in others],
         )
 
-    figures: Figures = {}
+    figures: dict[str, Figure] = {}
+    failures: dict[str, TrialFailures] = {}
     worst_overadmission = 0.0
-    trials = {
+    trials: dict[str, dict[str, Any]] = {
         'normal': {},
         'skewed': {'skewed': True},
         'domain_cut': {'events': [(4.0, cut_off)]},
@@ -181,7 +251,10 @@
             scenario,
             directory=conditions.directory / f'fairness-{name}',
             seed=conditions.seed,
-            **options,  # type: ignore[arg-type]
+            **options,
+        )
+        failures[name] = TrialFailures(
+            result.requests_within_rate, result.failures
         )
         figures[f'wrongful_refusal_ratio_{name}'] = (
             result.wrongful_refusal_ratio
@@ -192,12 +265,12 @@
         if name == 'flooded':
             figures['worst_workspace_share'] = result.worst_workspace_share
     figures['overadmission_ratio'] = worst_overadmission
-    return figures
+    return ExperimentResult(figures, failures=failures)
 
 
-async def run_propagation(conditions: Conditions) -> Figures:
+async def run_propagation(conditions: Conditions) -> ExperimentResult:
     """Measure how fast configuration and withdrawals are in force."""
-    figures: Figures = {}
+    figures: dict[str, Figure] = {}
     for suffix, rate, changes in (
         ('', CHANGES_PER_S, 12),
         ('_at_10x', 10 * CHANGES_PER_S, 80),
@@ -215,26 +288,53 @@
         rounds=5,
     )
     figures['key_withdrawn_p99_s'] = percentile(delays, 99)
-    return figures
+    return ExperimentResult(figures)
 
 
-async def run_control(conditions: Conditions) -> Figures:
+async def run_control(conditions: Conditions) -> ExperimentResult:
     """Measure the cost of control at three sizes."""
-    figures: Figures = {}
+    figures: dict[str, Figure] = {}
+    costs: list[ControlCost] = []
     for domains, per_domain in ((4, 2), (4, 8), (4, 32)):
         cost = await measure_control_cost(
             domains=domains,
             per_domain=per_domain,
             directory=conditions.directory / f'control-{domains * per_domain}',
         )
+        costs.append(cost)
         suffix = f'_{cost.daemons}_daemons'
         figures[f'control_cpu_percent{suffix}'] = cost.cpu_percent
         figures[f'control_bytes_per_s{suffix}'] = cost.bytes_per_s
         figures[f'control_rss_mb{suffix}'] = cost.rss_mb
-    return figures
+    return ExperimentResult(figures, {'control_cost': plot_control(costs)})
+
+
+def plot_control(costs: Sequence[ControlCost]) -> CostPlot:
+    """Return the plot of control costs by size of the fleet."""
+    return CostPlot(
+        'Control cost of an idle daemon',
+        (
+            CostPanel(
+                'percent of a core',
+                {cost.daemons: cost.cpu_percent for cost in costs},
+                CONTROL_GOAL_CPU_PERCENT,
+            ),
+            CostPanel(
+                'bytes sent a second',
+                {cost.daemons: cost.bytes_per_s for cost in costs},
+                CONTROL_GOAL_BYTES_PER_S,
+            ),
+            CostPanel(
+                'resident MB',
+                {cost.daemons: cost.rss_mb for cost in costs},
+                CONTROL_GOAL_RSS_MB,
+            ),
+        ),
+        'goal at 20,000 daemons',
+    )
 
 
-Experiment = Callable[[Conditions], Awaitable[Figures]]
+Experiment = Callable[[Conditions], Awaitable[ExperimentResult]]
 
 EXPERIMENTS: dict[str, Experiment] = {
     'latency': run_latency,
@@ -245,22 +345,22 @@
 }
 
 
-async def _run(options: argparse.Namespace) -> Figures:
+async def _run(options: argparse.Namespace) -> ExperimentResult:
     work = options.output / 'work'
     shutil.rmtree(work, ignore_errors=True)
     conditions = Conditions(
         load_scenario(options.scenario), work, options.seed
     )
-    figures: Figures = {}
+    results: list[ExperimentResult] = []
     for name in options.only or EXPERIMENTS:
         started_at = time.monotonic()
         print(f'{name}: running', flush=True)
-        found = await EXPERIMENTS[name](conditions)
-        for figure, value in found.items():
+        result = await EXPERIMENTS[name](conditions)
+        for figure, value in result.figures.items():
             print(f'  {figure} = {value}', flush=True)
         print(f'{name}: {time.monotonic() - started_at:.0f} s', flush=True)
-        figures.update(found)
-    return figures
+        results.append(result)
+    return merge_results(results)
 
 
 def main() -> None:
@@ -273,21 +373,22 @@
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--only', nargs='*', choices=sorted(EXPERIMENTS))
     options = parser.parse_args()
-    figures = uvloop.run(_run(options))
+    result = uvloop.run(_run(options))
     scenario = load_scenario(options.scenario)
     summary = Summary(
         source_version(),
         command_line(),
         options.seed,
-        figures,
+        dict(result.figures),
         GOALS,
         {
             'scenario': scenario.name,
             'scale of slots': str(scenario.scale),
             'service time': f'{scenario.work_ms} ms',
         },
+        dict(result.failures),
     )
-    write_report(summary, options.output)
+    write_report(summary, result.plots, options.output)
     print((options.output / 'summary.md').read_text())
 
 
--- a/packages/standins/src/turmericrouter_standins/latency.py
+++ b/packages/standins/src/turmericrouter_standins/latency.py
@@ -5,7 +5,9 @@
 """
 
 import asyncio
+from collections.abc import Mapping
 import dataclasses
+import math
 import random
 import time
 from typing import cast
@@ -25,23 +27,46 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AddedLatency:
-    """Latency of routed calls over direct ones, in milliseconds."""
+    """Latency of routed calls over direct ones.
 
-    direct_p50_ms: float
-    direct_p99_ms: float
-    routed_p50_ms: float
-    routed_p99_ms: float
-    calls: int
+    Args:
+        direct_ms: Milliseconds of direct calls by percentile.
+        routed_ms: Milliseconds of calls through two daemons by
+            percentile; the percentiles are the same.
+    """
 
-    @property
-    def added_p50_ms(self) -> float:
-        """Return the difference of the medians."""
-        return self.routed_p50_ms - self.direct_p50_ms
+    direct_ms: Mapping[float, float]
+    routed_ms: Mapping[float, float]
 
     @property
-    def added_p99_ms(self) -> float:
-        """Return the difference of the 99th percentiles."""
-        return self.routed_p99_ms - self.direct_p99_ms
+    def added_ms(self) -> dict[float, float]:
+        """Return the difference by percentile, in whole microseconds."""
+        return {
+            percent: round(routed - self.direct_ms[percent], 3)
+            for percent, routed in self.routed_ms.items()
+        }
+
+
+def percentiles_ms(histogram: HdrHistogram) -> dict[float, float]:
+    """Return milliseconds by percentile, with ten steps in each decade.
+
+    The last percentile is the highest that leaves out at least one sample:
+    0, 10 to 90, 91 to 99 and 99.1 to 99.9 for 1,000 samples.
+
+    Args:
+        histogram: At least 100 samples in microseconds.
+    """
+    decades = int(math.log10(histogram.get_total_count()))
+    percents = [0.0]
+    percents += [
+        round(100 - left * 10.0**-decade, decade)
+        for decade in range(-1, decades - 2 + 1)
+        for left in range(9, 0, -1)
+    ]
+    return {
+        percent: histogram.get_value_at_percentile(percent) / 1000
+        for percent in percents
+    }
 
 
 class _HttpConnection(asyncio.Protocol):
@@ -144,10 +169,4 @@
             await asyncio.sleep(rng.uniform(0.5, 1.5) / rate_per_s)
     direct_connection.close()
     routed_connection.close()
-    return AddedLatency(
-        direct.get_value_at_percentile(50) / 1000,
-        direct.get_value_at_percentile(99) / 1000,
-        routed.get_value_at_percentile(50) / 1000,
-        routed.get_value_at_percentile(99) / 1000,
-        calls,
-    )
+    return AddedLatency(percentiles_ms(direct), percentiles_ms(routed))
--- a/packages/standins/src/turmericrouter_standins/overload.py
+++ b/packages/standins/src/turmericrouter_standins/overload.py
@@ -1,5 +1,6 @@
 """Overload experiment: a surge on one service with hard client retries."""
 
+from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
 import pathlib
@@ -29,6 +30,7 @@
 _RECOVERY_WINDOW_S = 0.5
 _WARM_AFTER_S = 6.0
 _INTERVAL_S = 0.1
+_PLOT_STEP_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,6 +46,8 @@
             request was shed while a low one was served, over the surge.
         critical_served: Critical requests served during the surge.
         low_served: Low requests served during the surge.
+        capacity_per_s: Requests a second that the service can run.
+        served_rates: Useful answers a second by second of the trial.
     """
 
     goodput_ratio: float
@@ -51,6 +55,8 @@
     importance_inversions: int
     critical_served: int
     low_served: int
+    capacity_per_s: float
+    served_rates: Mapping[float, float]
 
 
 def _surged_kinds(scenario: Scenario) -> tuple[Kind, Kind]:
@@ -142,6 +148,12 @@
         importance_inversions=_inversions(result, critical_flows),
         critical_served=critical_served,
         low_served=served - critical_served,
+        capacity_per_s=capacity,
+        served_rates=result.served_rates(
+            names,
+            seconds=BEFORE_S + SURGE_S + AFTER_S,
+            step_s=_PLOT_STEP_S,
+        ),
     )
 
 
