Measure the share of the worst workspace for the baseline as well

Cause: worst_workspace_share had no baseline of the same run, so nothing told how much of it the overload control earns.

Ruled out: counting the baseline's admissions in overadmission_ratio, which is a bound on the daemons as they are run.

The experiment itself was not run for this commit.

--- a/packages/standins/src/turmericrouter_standins/experiments.py
+++ b/packages/standins/src/turmericrouter_standins/experiments.py
@@ -245,6 +245,10 @@
         'domain_cut': {'events': [(4.0, cut_off)]},
         'platform_down': {'events': [(4.0, _platform_down)]},
         'flooded': {'flooding': True},
+        'flooded_baseline': {
+            'flooding': True,
+            'settings': BASELINE_SETTINGS,
+        },
     }
     for name, options in trials.items():
         result = await measure_fairness(
@@ -259,11 +263,16 @@
         figures[f'wrongful_refusal_ratio_{name}'] = (
             result.wrongful_refusal_ratio
         )
-        worst_overadmission = max(
-            worst_overadmission, result.overadmission_ratio
-        )
-        if name == 'flooded':
-            figures['worst_workspace_share'] = result.worst_workspace_share
+        if name.startswith('flooded'):
+            figures[f'worst_workspace_share{name.removeprefix("flooded")}'] = (
+                result.worst_workspace_share
+            )
+        # The baseline says nothing about the bound of the daemons as they
+        # are run.
+        if name != 'flooded_baseline':
+            worst_overadmission = max(
+                worst_overadmission, result.overadmission_ratio
+            )
     figures['overadmission_ratio'] = worst_overadmission
     return ExperimentResult(figures, failures=failures)
 
--- a/tests/standins/test_trial_figures.py
+++ b/tests/standins/test_trial_figures.py
@@ -1,16 +1,23 @@
 """Guards against figures of trials that count the wrong attempts."""
 
+import asyncio
 from collections.abc import Sequence
+import pathlib
+from typing import Any
 
 import pytest
 
+from turmericrouter_standins import experiments
 from turmericrouter_standins.fairness import evaluate
+from turmericrouter_standins.fairness import FairnessResult
 from turmericrouter_standins.fairness import WARM_UP_S
 from turmericrouter_standins.ledger import LedgerEntry
 from turmericrouter_standins.load import Attempt
 from turmericrouter_standins.load import count_failures
 from turmericrouter_standins.load import Failure
 from turmericrouter_standins.load import FailureCount
+from turmericrouter_standins.scenario import load_scenario
+from turmericrouter_standins.trial import BASELINE_SETTINGS
 from turmericrouter_standins.trial import TrialResult
 
 _STARTED_AT = 1000.0
@@ -127,3 +134,29 @@
     )
     rates = trial.served_rates(['east'], seconds=2.0, step_s=0.5)
     assert rates == {0.0: 4.0, 0.5: 0.0, 1.0: 2.0, 1.5: 0.0}
+
+
+def test_share_of_the_baseline_comes_from_the_same_run(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: pathlib.Path
+) -> None:
+    seen: list[dict[str, Any]] = []
+
+    async def measure(
+        scenario: object, *, directory: pathlib.Path, **options: Any
+    ) -> FairnessResult:
+        seen.append(options)
+        if options.get('settings') is BASELINE_SETTINGS:
+            return FairnessResult(0.5, 0.5, 100, (), 3.0)
+        return FairnessResult(0.9, 0.1, 100, (), 0.8)
+
+    monkeypatch.setattr(experiments, 'measure_fairness', measure)
+    conditions = experiments.Conditions(load_scenario('mosaic'), tmp_path, 7)
+    found = asyncio.run(experiments.run_fairness(conditions))
+    assert found.figures['worst_workspace_share'] == 0.9
+    assert found.figures['worst_workspace_share_baseline'] == 0.5
+    # The bound on admissions is one of the daemons as they are run.
+    assert found.figures['overadmission_ratio'] == 0.8
+    flooded = [options for options in seen if options.get('flooding')]
+    assert len(flooded) == 2
+    assert {options['seed'] for options in flooded} == {7}
+    assert found.failures.keys() >= {'normal', 'flooded', 'flooded_baseline'}
