Report the load that a surge offered and wait for refusals at the deadline

Its raw results show 520 first attempts a second in the 10x surge instead of 2,400; in the 2x surge it was the planned 480. The rest was sent late, up to second 54, and recovery_s = 0 came from one good second, while the 15 s after the surge had half of the useful answers of before. In trial domain_cut all 396 client timeouts lasted 2.0 to 2.2 s: the client gave up at the routes' deadline of 2 s and could not see a refusal at the deadline.

Ruled out: failing the run when the load falls short, which hides the other figures. A longer surge instead of the planned one.

Before and after: offered_ratio_* are new figures; goodput and recovery are computed as before. Fairness clients wait 2.5 s. The experiments were not run again.

Conclusion: a run on a machine that is too busy shows itself. A client timeout in the fairness trials now means that no daemon answered within 0.5 s after the deadline.

--- a/packages/standins/src/turmericrouter_standins/experiments.py
+++ b/packages/standins/src/turmericrouter_standins/experiments.py
@@ -186,6 +186,7 @@
             )
             results[suffix] = result
             figures[f'goodput_ratio_{factor}x{suffix}'] = result.goodput_ratio
+            figures[f'offered_ratio_{factor}x{suffix}'] = result.offered_ratio
             if factor == 10:
                 figures[f'recovery_s{suffix}'] = result.recovery_s
                 figures[f'importance_inversions{suffix}'] = (
--- a/packages/standins/src/turmericrouter_standins/fairness.py
+++ b/packages/standins/src/turmericrouter_standins/fairness.py
@@ -25,6 +25,9 @@
 WITHIN_RATE = 0.8
 FLOOD_FACTOR = 10.0
 TOTAL_LOAD = 0.6
+# Longer than the routes' deadline of 2 s, so that a refusal at the deadline
+# is told from a daemon that does not answer.
+CLIENT_TIMEOUT_S = 2.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -100,7 +103,7 @@
                 entries=tuple(host.entry_url for host in hosts),
                 key=scenario.key(name),
                 delay_s=scenario.client_delay_ms / 1000,
-                timeout_s=2.0,
+                timeout_s=CLIENT_TIMEOUT_S,
             )
             for name, rate in rates.items()
         ]
--- a/packages/standins/src/turmericrouter_standins/overload.py
+++ b/packages/standins/src/turmericrouter_standins/overload.py
@@ -40,6 +40,10 @@
     Args:
         goodput_ratio: Useful answers a second during the surge over the
             service's capacity.
+        offered_ratio: First attempts a second during the surge over the
+            service's capacity. It falls short of the surge's factor if
+            the load processes could not keep up; they then send late,
+            and the surge outlasts its end.
         recovery_s: Seconds from the end of the surge until goodput is
             back at 95% of what it was before, none if it never was.
         importance_inversions: Intervals of 100 ms in which a critical
@@ -51,6 +55,7 @@
     """
 
     goodput_ratio: float
+    offered_ratio: float
     recovery_s: float | None
     importance_inversions: int
     critical_served: int
@@ -144,6 +149,7 @@
     critical_served = result.served(critical_flows, start, end)
     return OverloadResult(
         goodput_ratio=served / (end - start) / capacity,
+        offered_ratio=result.offered(start, end) / (end - start) / capacity,
         recovery_s=_recovery_s(result, names),
         importance_inversions=_inversions(result, critical_flows),
         critical_served=critical_served,
--- a/packages/standins/src/turmericrouter_standins/trial.py
+++ b/packages/standins/src/turmericrouter_standins/trial.py
@@ -62,6 +62,14 @@
             for attempt in self.attempts
         )
 
+    def offered(self, start: float, end: float) -> int:
+        """Return first attempts sent between two seconds of the trial."""
+        return sum(
+            attempt.attempt == 0
+            and start <= attempt.sent_at - self.started_at < end
+            for attempt in self.attempts
+        )
+
     def served_rates(
         self, flows: Iterable[str], *, seconds: float, step_s: float
     ) -> dict[float, float]:
--- a/tests/standins/test_report.py
+++ b/tests/standins/test_report.py
@@ -23,7 +23,7 @@
 
 def _surge(rate: float) -> OverloadResult:
     rates = {float(second): rate for second in range(35)}
-    return OverloadResult(0.9, 1.0, 0, 10, 10, 240.0, rates)
+    return OverloadResult(0.9, 10.0, 1.0, 0, 10, 10, 240.0, rates)
 
 
 def _latency() -> AddedLatency:
--- a/tests/standins/test_trial_figures.py
+++ b/tests/standins/test_trial_figures.py
@@ -5,6 +5,7 @@
 import pathlib
 from typing import Any
 
+import msgspec
 import pytest
 
 from turmericrouter_standins import experiments
@@ -136,6 +137,12 @@
     assert rates == {0.0: 4.0, 0.5: 0.0, 1.0: 2.0, 1.5: 0.0}
 
 
+def test_load_that_was_sent_late_is_not_counted_as_offered() -> None:
+    resent = msgspec.structs.replace(_attempt(second=1.5), attempt=1)
+    trial = _trial([_attempt(503, second=1.0), _attempt(second=2.0), resent])
+    assert trial.offered(1.0, 2.0) == 1
+
+
 def test_share_of_the_baseline_comes_from_the_same_run(
     monkeypatch: pytest.MonkeyPatch, tmp_path: pathlib.Path
 ) -> None:
