--- a/packages/standins/src/turmericrouter_standins/overload.py
+++ b/packages/standins/src/turmericrouter_standins/overload.py
@@ -1,5 +1,6 @@
 """Overload experiment: a surge on one service with hard client retries."""
 
+from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
 import pathlib
@@ -29,6 +30,7 @@
 _RECOVERY_WINDOW_S = 0.5
 _WARM_AFTER_S = 6.0
 _INTERVAL_S = 0.1
+_PLOT_STEP_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,19 +40,28 @@
     Args:
         goodput_ratio: Useful answers a second during the surge over the
             service's capacity.
+        offered_ratio: First attempts a second during the surge over the
+            service's capacity. It falls short of the surge's factor if
+            the load processes could not keep up; they then send late,
+            and the surge outlasts its end.
         recovery_s: Seconds from the end of the surge until goodput is
             back at 95% of what it was before, none if it never was.
         importance_inversions: Intervals of 100 ms in which a critical
             request was shed while a low one was served, over the surge.
         critical_served: Critical requests served during the surge.
         low_served: Low requests served during the surge.
+        capacity_per_s: Requests a second that the service can run.
+        served_rates: Useful answers a second by second of the trial.
     """
 
     goodput_ratio: float
+    offered_ratio: float
     recovery_s: float | None
     importance_inversions: int
     critical_served: int
     low_served: int
+    capacity_per_s: float
+    served_rates: Mapping[float, float]
 
 
 def _surged_kinds(scenario: Scenario) -> tuple[Kind, Kind]:
@@ -138,10 +149,17 @@
     critical_served = result.served(critical_flows, start, end)
     return OverloadResult(
         goodput_ratio=served / (end - start) / capacity,
+        offered_ratio=result.offered(start, end) / (end - start) / capacity,
         recovery_s=_recovery_s(result, names),
         importance_inversions=_inversions(result, critical_flows),
         critical_served=critical_served,
         low_served=served - critical_served,
+        capacity_per_s=capacity,
+        served_rates=result.served_rates(
+            names,
+            seconds=BEFORE_S + SURGE_S + AFTER_S,
+            step_s=_PLOT_STEP_S,
+        ),
     )
 
 
