Test which waiting request a full queue evicts

Cause: no test failed when the order of eviction inside one importance was changed on purpose; the state machine only compares importances.

Ruled out: an oracle of the fair shares in the state machine, as it would repeat the code that it checks; a table of cases says which request goes.

Conclusion: the order by importance was confirmed already (the state machine fails when it is changed); the order by workspace, weight and age is now named by a test.

--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -6,6 +6,7 @@
 from hypothesis.stateful import precondition
 from hypothesis.stateful import rule
 from hypothesis.stateful import RuleBasedStateMachine
+import pytest
 
 from turmericrouter_core.admission import Dropped
 from turmericrouter_core.admission import GateQueue
@@ -196,6 +197,61 @@
     assert queue.release(0.2, 1, 1).started[0].number == 3
 
 
+def _full_queue(*, standing: bool, east_weight: float) -> GateQueue:
+    """Return a queue with requests 1 to 3 of east and 4 of west waiting.
+
+    Args:
+        standing: The queue delay has stood for the whole interval.
+        east_weight: Weight of east; west has 1.
+    """
+    queue = GateQueue(QueueSettings(delay_target_s=0.02, interval_s=0.1))
+    for number, name in enumerate(['east', 'east', 'east', 'east', 'west']):
+        weight = east_weight if name == 'east' else 1.0
+        queue.offer(0.0, _low(number, name, weight), 1)
+    if standing:
+        refused = queue.offer(0.03, _low(5, 'east', east_weight), 1)
+        assert refused.reason is Reason.QUEUE_FULL
+    return queue
+
+
+def _low(number: int, workspace: str, weight: float) -> Ticket:
+    return Ticket(number, workspace, Importance.LOW, 0.0, 100.0, weight=weight)
+
+
+@pytest.mark.parametrize(
+    ('workspace', 'importance', 'standing', 'east_weight', 'victim'),
+    [
+        ('north', Importance.CRITICAL, False, 1.0, 3),
+        ('north', Importance.CRITICAL, True, 1.0, 1),
+        ('north', Importance.CRITICAL, False, 4.0, 4),
+        ('north', Importance.LOW, False, 1.0, 3),
+        ('north', Importance.LOW, True, 1.0, 1),
+        ('west', Importance.LOW, False, 1.0, 3),
+        ('east', Importance.LOW, False, 1.0, None),
+        ('east', Importance.LOW, True, 1.0, 1),
+        ('north', Importance.LOW, False, 4.0, None),
+    ],
+)
+def test_heaviest_workspace_makes_room(
+    workspace: str,
+    importance: Importance,
+    standing: bool,
+    east_weight: float,
+    victim: int | None,
+) -> None:
+    """Fails if another workspace, or its older work, pays for a flood.
+
+    Under a standing delay the newest are served first, so the oldest goes.
+    """
+    queue = _full_queue(standing=standing, east_weight=east_weight)
+    ticket = Ticket(9, workspace, importance, 0.2, 100.0)
+    admission = queue.offer(0.2, ticket, 1)
+    evicted = [dropped.number for dropped in admission.dropped]
+    assert evicted == ([] if victim is None else [victim])
+    refused = admission.placement is Placement.REFUSED
+    assert refused is (victim is None)
+
+
 def test_plain_queue_is_first_in_first_out_without_bound() -> None:
     """Fails if the baseline sheds or reorders."""
     queue = GateQueue(QueueSettings(plain=True))
