Count lost members in the fence of a holder

Cause: a holder that lost its peers, read the log alone for a while and then lost the log counted one member of one and went on. The state machine did not reach this order.

Ruled out: a strict comparison in the fence alone, as the count itself was of the members seen at the last read. Counting a leaving member as seen, as the proposer does not count it as known.

Conclusion: holder and proposer count the same members, dead ones included. The price is that a holder in a domain that has lost half of its members stops while the log is down, until they are back or forgotten (membership.expire_after_s).

--- a/packages/core/src/turmericrouter_core/roster.py
+++ b/packages/core/src/turmericrouter_core/roster.py
@@ -146,8 +146,11 @@
 
     Args:
         log_age_s: Seconds since the log was read.
-        members_now: Members of the domain seen now, itself included.
-        members_at_read: Members seen when the log was last read.
+        members_now: Members of the domain that have not left and are seen
+            now, itself included.
+        members_at_read: Members that had not left when the log was last
+            read, dead ones included: those that this one does not see may
+            be a majority that replaces it.
         pause_s: Longest pause of the event loop since the log was read or
             the current epoch heard.
         epoch: Epoch of the holder's roster.
--- a/packages/daemon/src/turmericrouter_daemon/roster_service.py
+++ b/packages/daemon/src/turmericrouter_daemon/roster_service.py
@@ -90,7 +90,9 @@
         self._last_log_age_s = float('inf')
         self._members: frozenset[str] = frozenset()
         self._known = 0
-        self._members_at_read = 0
+        # Members that have not left, as counted by the fence.
+        self._counted_now = 0
+        self._counted_at_read = 0
         self._dead_since: dict[str, float] = {}
         self._live: frozenset[str] = frozenset()
         self._live_since = 0.0
@@ -112,8 +114,8 @@
         return self._fence.check(
             FenceView(
                 self._config.log_age_s,
-                len(self._members),
-                self._members_at_read,
+                self._counted_now,
+                self._counted_at_read,
                 pause_s,
                 self.roster(self._domain).epoch,
                 self._epochs_heard.get(self._domain, -1),
@@ -287,9 +289,15 @@
         ]
         seen = {e.address for e in members if e.mark != Mark.DEAD}
         self._members = frozenset(seen | {self._own})
+        # Dead members count: a minority must not take itself for the whole.
+        staying = {
+            e.address for e in members if e.state != MemberState.LEAVING
+        }
+        self._known = len(staying)
+        self._counted_now = len((staying & seen) | {self._own})
         log_age_s = self._config.log_age_s
         if log_age_s < min(self._last_log_age_s, _FRESH_S):
-            self._members_at_read = len(self._members)
+            self._counted_at_read = len(staying | {self._own})
         self._last_log_age_s = log_age_s
         live = frozenset(
             e.address
@@ -298,8 +306,6 @@
         )
         if live != self._live:
             self._live, self._live_since = live, now
-        # Dead members count: a minority must not take itself for the whole.
-        self._known = sum(e.state != MemberState.LEAVING for e in members)
         self._dead_since = {
             holder: self._dead_since.get(holder, now)
             for holder in self.roster(self._domain).holders
--- a/tests/core/test_roster.py
+++ b/tests/core/test_roster.py
@@ -7,6 +7,7 @@
 from hypothesis.stateful import initialize
 from hypothesis.stateful import rule
 from hypothesis.stateful import RuleBasedStateMachine
+import pytest
 
 from turmericrouter_core.control import RosterChange
 from turmericrouter_core.roster import DomainView
@@ -197,7 +198,7 @@
         if member.has_log:
             member.take_in(self.log, now)
             member.read_at = now
-            member.members_at_read = len(member.members(now))
+            member.members_at_read = len(self.members)
         member.members_now = len(member.members(now))
         if member.has_log or member.pause_s <= FENCE.max_pause_s:
             member.pause_s = 0.0
@@ -237,6 +238,65 @@
 )
 
 
+PICKS = range(4)
+
+
+def _world(size: int, *, asks: bool = False) -> FenceMachine:
+    world = FenceMachine()
+    world.begin_world(size, asks)
+    return world
+
+
+@pytest.mark.parametrize('pick', PICKS)
+def test_cut_off_holder_stops_before_it_is_replaced(pick: int) -> None:
+    """Guards against a holder without log or peers that goes on."""
+    world = _world(4)
+    world.cut(pick, 1, False)
+    world.run_on(100)
+
+
+@pytest.mark.parametrize('pick', PICKS)
+def test_holder_that_reads_the_log_alone_stops_without_it(pick: int) -> None:
+    """Guards against a holder that counts only those it could still see.
+
+    It loses its peers, reads the log for a while, and then loses the log.
+    """
+    world = _world(4)
+    world.cut(pick, 1, True)
+    world.run_on(30)
+    world.cut(pick, 1, False)
+    world.run_on(100)
+
+
+@pytest.mark.parametrize('item', ITEMS)
+def test_page_that_waits_in_a_paused_holder_is_not_fresh(item: str) -> None:
+    """Guards against a start delay without the longest pause.
+
+    A holder takes in a page after a pause, as if it had read it then, while
+    another has joined right after the page was sent.
+    """
+    world = _world(3)
+    holder = world.members[world._actors(item)[0]]
+    roster = holder.state.roster('d')
+    joining = next(
+        name
+        for name in map(str, range(99))
+        if holder_of(item, (*roster.holders, name)) == name
+    )
+    world.cut(list(world.members).index(holder.name), 1, False)
+    holder.is_paused = True
+    world.members[joining] = _Member(joining, world.now)
+    world.group[joining] = 0
+    joined = (*roster.holders, joining)
+    world.log.append(RosterChange('d', roster.epoch, joined))
+    # Its next timer runs one step later, after a pause just short enough.
+    world.run_on(int(FENCE.max_pause_s - STEP_S))
+    holder.is_paused = False
+    holder.read_at = world.now
+    world.run_on(30)
+    assert world._actors(item) == [joining]
+
+
 def test_dead_holder_is_replaced_by_the_first_live_member() -> None:
     """Guards against proposals by several members or by a minority."""
     roster = Roster(4, ('a', 'b', 'c'))
