--- a/tests/system/test_entry_retries.py
+++ b/tests/system/test_entry_attempts.py
@@ -1,4 +1,4 @@
-"""Bounds on the attempts of one dispatcher before targets that all shed."""
+"""Attempts that one dispatcher makes, before targets that all shed."""
 
 import asyncio
 import random
@@ -8,6 +8,7 @@
 from turmericrouter_core.config import Route
 from turmericrouter_core.directory import Directory
 from turmericrouter_core.directory import MemberState
+from turmericrouter_core.identity import OperationId
 from turmericrouter_core.messages import DirectoryEntry
 from turmericrouter_core.messages import GateLoad
 from turmericrouter_core.messages import Level
@@ -53,8 +54,8 @@
     )
 
 
-async def _attempts(calls: list[Call]) -> int:
-    """Return how often targets were asked for some calls."""
+def _dispatcher(operations: Any = None) -> tuple[Dispatcher, Any]:
+    """Return a dispatcher and its links to the targets' daemons."""
     runtime: Any = mock.Mock(
         settings=SETTINGS, address='127.0.0.1:2', rng=random.Random(1)
     )
@@ -86,9 +87,15 @@
         mock.Mock(),
         peers,
         quota,
-        mock.Mock(),
+        operations,
         blocklist,
     )
+    return dispatcher, peers
+
+
+async def _attempts(calls: list[Call]) -> int:
+    """Return how often targets were asked for some calls."""
+    dispatcher, peers = _dispatcher()
     for call in calls:
         answer = await dispatcher.serve(call)
         assert answer.verdict is Verdict.NOT_RUN
@@ -110,3 +117,32 @@
 def test_nested_call_is_tried_once() -> None:
     """Guards against retries at each level, which would multiply."""
     assert asyncio.run(_attempts([_call(parent=mock.Mock())])) == 1
+
+
+async def _check_abandoned(*, is_abandoned: bool) -> int:
+    """Return the attempts of an operation whose home replies late."""
+    begun = asyncio.Event()
+
+    async def begin(_: Call) -> int:
+        await begun.wait()
+        return 7
+
+    operations: Any = mock.AsyncMock()
+    operations.begin = begin
+    dispatcher, peers = _dispatcher(operations)
+    operation = OperationId.mint(NOW_S, 0, random.Random(1))
+    request = asyncio.create_task(dispatcher.serve(_call(operation=operation)))
+    await asyncio.sleep(0.01)
+    if is_abandoned:
+        request.cancel()
+    await asyncio.sleep(0)
+    begun.set()
+    await dispatcher.drained()
+    await asyncio.wait([request])
+    return int(peers.request.await_count)
+
+
+def test_abandoned_operation_is_not_dispatched() -> None:
+    """Guards against a start after its caller was told not-run elsewhere."""
+    assert asyncio.run(_check_abandoned(is_abandoned=True)) == 0
+    assert asyncio.run(_check_abandoned(is_abandoned=False)) > 0
