Refuse requests that crash targets at the gate as well

The third attempt came through an entry that had started 0.5 s before and had learned only of the second crash; the gate that ran it had learned of both, 0.5 s before, but did not ask. Ruled out: lost crash marks; the log shows that eight of nine daemons knew both within 30 ms. Before and after: tests/daemon/test_gate_outcomes.py: the new test covers a request that arrives and one that waits. pytest test_gate_outcomes, test_quarantine_service and system test_quarantine pass. Conclusion: the gate refuses with quarantined, which no entry retries.

--- a/packages/daemon/src/turmericrouter_daemon/crash_reporter.py
+++ b/packages/daemon/src/turmericrouter_daemon/crash_reporter.py
@@ -7,7 +7,7 @@
 
 
 class CrashReporter(Protocol):
-    """Is told of crashes of the target and of successes."""
+    """Is told of crashes and successes and names who may not run."""
 
     def crashed(self, messages: Sequence[Dispatch], crash_id: str) -> None:
         """Record requests whose connection broke.
@@ -20,6 +20,9 @@
     def succeeded(self, message: Dispatch) -> None:
         """Record a request that got a whole answer."""
 
+    def blocks(self, message: Dispatch) -> bool:
+        """Return whether a request has crashed targets too often."""
+
 
 class NoCrashReporter:
     """Drops everything; used without a quarantine."""
@@ -29,3 +32,7 @@
 
     def succeeded(self, message: Dispatch) -> None:
         """Drop a success."""
+
+    def blocks(self, message: Dispatch) -> bool:
+        """Return false: nothing is recorded."""
+        return False
--- a/packages/daemon/src/turmericrouter_daemon/gate.py
+++ b/packages/daemon/src/turmericrouter_daemon/gate.py
@@ -74,12 +74,13 @@
             runtime, lambda: self._drop_waiting(Reason.TARGET_UNREACHABLE)
         )
         self._target.on_state(self._on_target_state)
+        self._crashes = crashes or NoCrashReporter()
         self._delivery = Delivery(
             runtime,
             config,
             self._target,
             self._queue,
-            crashes or NoCrashReporter(),
+            self._crashes,
         )
         self._waiting: dict[int, asyncio.Future[Dropped | None]] = {}
         self._last_number = 0
@@ -250,6 +251,8 @@
         state = self._config.state
         if state.is_retired(message.target):
             return Reason.TARGET_RETIRED
+        if self._crashes.blocks(message):
+            return Reason.QUARANTINED
         if message.key_digest:
             key = state.key(message.key_digest)
             # A key that this daemon has not heard of yet was checked by
--- a/packages/daemon/src/turmericrouter_daemon/quarantine_service.py
+++ b/packages/daemon/src/turmericrouter_daemon/quarantine_service.py
@@ -83,6 +83,16 @@
         )
         return self._quarantine.is_blocked(digest, self._now())
 
+    def blocks(self, message: Dispatch) -> bool:
+        """Return whether a dispatched request has crashed too many targets.
+
+        The gate asks as well, since an entry that has just started may not
+        have learned of the crashes yet.
+        """
+        if self._quarantine.is_empty:
+            return False
+        return self._quarantine.is_blocked(self._digest(message), self._now())
+
     def crashed(self, messages: Sequence[Dispatch], crash_id: str) -> None:
         """Mark the requests that were in flight when the target crashed.
 
--- a/tests/daemon/gate_bench.py
+++ b/tests/daemon/gate_bench.py
@@ -72,6 +72,7 @@
     def __init__(self) -> None:
         self.crashes: list[tuple[str, str]] = []
         self.successes: list[str] = []
+        self.blocked: set[str] = set()
 
     def crashed(self, messages: Sequence[Dispatch], crash_id: str) -> None:
         self.crashes += [(each.path, crash_id) for each in messages]
@@ -79,6 +80,9 @@
     def succeeded(self, message: Dispatch) -> None:
         self.successes.append(message.path)
 
+    def blocks(self, message: Dispatch) -> bool:
+        return message.path in self.blocked
+
 
 class Bench:
     """A gate before a scripted target that holds requests on demand."""
--- a/tests/daemon/test_gate_outcomes.py
+++ b/tests/daemon/test_gate_outcomes.py
@@ -99,3 +99,23 @@
         assert bench.states == ['serving', 'lost', 'serving']
 
     run_bench(check)
+
+
+def test_request_that_crashes_targets_is_refused_at_the_gate() -> None:
+    # Guards against a third crashed target when the entry has just started
+    # and has not learned of the first two crashes (soak seed 2).
+
+    async def check(bench: Bench) -> None:
+        running = bench.start('/forever')
+        await bench.until(lambda: bool(bench.paths))
+        (waiting,) = await bench.queue('/poison')
+        bench.crashes.blocked.add('/poison')
+        assert result(await bench.start('/poison')) == (
+            NOT_RUN,
+            Reason.QUARANTINED,
+        )
+        running.cancel()
+        assert result(await waiting) == (NOT_RUN, Reason.QUARANTINED)
+        assert bench.paths == ['/forever']
+
+    run_bench(check)
