Give the division of quota shares a module of its own

Cause: quota_service held three concerns in 451 lines: the division of workspaces into slices, the holder's buckets and the entry's pools. The division had no test of its own. Ruled out: a common base for quota_service and operation_service, whose constructors take the same four collaborators. They share no state and use different parts of them, so a base would only hide what each one needs.

--- /dev/null
+++ b/packages/daemon/src/turmericrouter_daemon/quota_division.py
@@ -0,0 +1,119 @@
+"""Divides workspaces' quotas into slices, also while a division changes."""
+
+import dataclasses
+
+from turmericrouter_core.clock import Clock
+from turmericrouter_core.config import Applied
+from turmericrouter_core.config import Workspace
+from turmericrouter_core.quota import narrower
+from turmericrouter_core.quota import slices_for
+from turmericrouter_core.quota import SliceShare
+from turmericrouter_daemon.config_sync import ConfigSync
+from turmericrouter_daemon.settings import QuotaSettings
+
+# An accepted configuration is in force everywhere within this time (P12).
+_IN_FORCE_S = 10.0
+_WORKSPACE_SCOPE = 'workspace/'
+
+
+@dataclasses.dataclass(slots=True)
+class _Division:
+    """Division of a workspace's quota, and what came before it."""
+
+    workspace: Workspace
+    domains: int
+    share: SliceShare
+    changed_at: float
+    before: SliceShare | None = None
+
+
+class QuotaDivisions:
+    """Shares of slices, as the configuration in force gives them.
+
+    Args:
+        config: Configuration in force.
+        clock: Clock of the process.
+        settings: Number of holders and lifetime of tokens.
+    """
+
+    def __init__(
+        self, config: ConfigSync, clock: Clock, settings: QuotaSettings
+    ) -> None:
+        self._config = config
+        self._clock = clock
+        self._holders = settings.holders_per_domain
+        self._lifetime_s = settings.token_lifetime_ms / 1000
+        self._divisions: dict[str, _Division] = {}
+
+    @property
+    def names(self) -> list[str]:
+        """Return the names of the divided workspaces in order."""
+        return sorted(self._divisions)
+
+    def take_in(self, applied: Applied) -> list[str]:
+        """Divide again what a configuration change concerns.
+
+        Returns:
+            Names of the workspaces that may have other shares now.
+        """
+        names: list[str] = []
+        for scope in applied.changed:
+            if scope == 'fleet':
+                names.extend(self._divisions)
+            elif scope.startswith(_WORKSPACE_SCOPE):
+                names.append(scope.removeprefix(_WORKSPACE_SCOPE))
+        for name in names:
+            self._divide(name)
+        return names
+
+    def share(self, name: str) -> SliceShare | None:
+        """Return the share of a workspace's slices that is in force now."""
+        division = self._divisions.get(name)
+        if division is None:
+            self._divide(name)
+            division = self._divisions.get(name)
+        if division is None or not division.domains:
+            return None
+        return _current(division, self._clock.monotonic())
+
+    def workspace(self, name: str) -> Workspace:
+        """Return the rate and burst of a divided workspace."""
+        return self._divisions[name].workspace
+
+    def changed_at(self, name: str) -> float:
+        """Return the monotonic second of the last change of a division."""
+        return self._divisions[name].changed_at
+
+    def domain(self, index: int) -> str:
+        """Return the failure domain of a slice, empty without domains."""
+        domains = self._config.state.fleet.domains
+        return domains[index % len(domains)] if domains else ''
+
+    def _divide(self, name: str) -> None:
+        workspace = self._config.state.workspace(name)
+        if workspace is None:
+            self._divisions.pop(name, None)
+            return
+        domains = len(self._config.state.fleet.domains)
+        share = slices_for(
+            workspace,
+            domains=domains,
+            holders=self._holders,
+            lifetime_s=self._lifetime_s,
+        )
+        now = self._clock.monotonic()
+        division = _Division(workspace, domains, share, changed_at=now)
+        known = self._divisions.get(name)
+        # Without domains there were no slices yet.
+        if known is not None and known.domains and share != known.share:
+            division.before = _current(known, now)
+        self._divisions[name] = division
+
+
+def _current(division: _Division, now: float) -> SliceShare:
+    before = division.before
+    if before is None or now - division.changed_at > _IN_FORCE_S:
+        return division.share
+    if before.count == division.share.count:
+        return division.share
+    return narrower(before, division.share)
--- a/packages/daemon/src/turmericrouter_daemon/quota_service.py
+++ b/packages/daemon/src/turmericrouter_daemon/quota_service.py
@@ -8,27 +8,23 @@
 from typing import Any
 
 from turmericrouter_core.config import Applied
-from turmericrouter_core.config import Workspace
 from turmericrouter_core.errors import LinkError
 from turmericrouter_core.messages import DrawTokens
 from turmericrouter_core.messages import Hello
 from turmericrouter_core.messages import ReturnTokens
 from turmericrouter_core.messages import TokensGranted
 from turmericrouter_core.quota import Batch
-from turmericrouter_core.quota import narrower
 from turmericrouter_core.quota import QuotaSlice
-from turmericrouter_core.quota import slices_for
 from turmericrouter_core.quota import SliceShare
 from turmericrouter_core.quota import TokenPool
 from turmericrouter_core.verdict import Reason
 from turmericrouter_core.verdict import Refusal
 from turmericrouter_daemon.config_sync import ConfigSync
 from turmericrouter_daemon.peer import PeerPool
+from turmericrouter_daemon.quota_division import QuotaDivisions
 from turmericrouter_daemon.roster_service import RosterService
 from turmericrouter_daemon.runtime import Runtime
 
-# An accepted configuration is in force everywhere within this time (P12).
-_IN_FORCE_S = 10.0
 _MAX_GRANT = 1000
 # Draws that one request waits for at most, one after the other.
 _MAX_DRAWS = 16
@@ -38,24 +34,12 @@
 # Weight of the newest upkeep period in the estimate of the demand.
 _DEMAND_WEIGHT = 0.2
 _UNREACHABLE_PAUSE_S = 0.25
-_WORKSPACE_SCOPE = 'workspace/'
 
 _taken: contextvars.ContextVar[Batch | None] = contextvars.ContextVar(
     'taken_token', default=None
 )
 
 
-@dataclasses.dataclass(slots=True)
-class _Division:
-    """Division of a workspace's quota, and what came before it."""
-
-    workspace: Workspace
-    domains: int
-    share: SliceShare
-    changed_at: float
-    before: SliceShare | None = None
-
-
 @dataclasses.dataclass(slots=True)
 class _Demand:
     """Tokens of one workspace at this entry."""
@@ -113,10 +97,9 @@
         self._peers = peers
         self._rosters = rosters
         settings = runtime.settings.quota
-        self._holders = settings.holders_per_domain
         self._lifetime_s = settings.token_lifetime_ms / 1000
         self._timeout_s = settings.draw_timeout_ms / 1000
-        self._divisions: dict[str, _Division] = {}
+        self._divisions = QuotaDivisions(config, runtime.clock, settings)
         # Bucket and tenure by (workspace, slice).
         self._slices: dict[tuple[str, int], tuple[QuotaSlice, float]] = {}
         self._demands: dict[str, _Demand] = {}
@@ -160,11 +143,11 @@
 
     def uses(self) -> list[QuotaUse]:
         """Return the quota of all workspaces, for operators."""
-        return [self._use(name) for name in sorted(self._divisions)]
+        return [self._use(name) for name in self._divisions.names]
 
     def _use(self, name: str) -> QuotaUse:
         now = self._runtime.clock.monotonic()
-        quota = self._divisions[name].workspace
+        quota = self._divisions.workspace(name)
         held = [
             bucket.level(now)
             for (workspace, index), (bucket, _) in self._slices.items()
@@ -181,15 +164,15 @@
         )
 
     def _holds(self, workspace: str, index: int) -> bool:
-        domain = self._slice_domain(index)
+        domain = self._divisions.domain(index)
         return self._rosters.since(domain, f'{workspace}/{index}') is not None
 
     def handle_draw(
         self, message: DrawTokens, sender: Hello | None
     ) -> TokensGranted:
         """Grant tokens as holder."""
-        share = self._share(message.workspace)
-        domain = self._slice_domain(message.slice_index)
+        share = self._divisions.share(message.workspace)
+        domain = self._divisions.domain(message.slice_index)
         self._rosters.hear(domain, message.epoch)
         if share is None or message.slice_index >= share.count:
             return TokensGranted(0, 0, fenced=True)
@@ -218,58 +201,12 @@
             )
 
     def _on_config(self, applied: Applied) -> None:
-        for scope in applied.changed:
-            if scope == 'fleet':
-                for name in list(self._divisions):
-                    self._divide(name)
-            elif scope.startswith(_WORKSPACE_SCOPE):
-                self._divide(scope.removeprefix(_WORKSPACE_SCOPE))
-
-    def _divide(self, name: str) -> None:
-        """Take in a workspace's quota or the number of domains."""
-        workspace = self._config.state.workspace(name)
-        if workspace is None:
-            self._divisions.pop(name, None)
-            return
-        domains = len(self._config.state.fleet.domains)
-        share = slices_for(
-            workspace,
-            domains=domains,
-            holders=self._holders,
-            lifetime_s=self._lifetime_s,
-        )
+        names = frozenset(self._divisions.take_in(applied))
         now = self._runtime.clock.monotonic()
-        division = _Division(workspace, domains, share, changed_at=now)
-        known = self._divisions.get(name)
-        # Without domains there were no slices yet.
-        if known is not None and known.domains and share != known.share:
-            division.before = self._current(known, now)
-        self._divisions[name] = division
         # A decrease applies at once, not at the next draw.
-        for (held_name, _), (held, _) in self._slices.items():
-            if held_name == name:
-                held.set_share(self._current(division, now), now)
-
-    def _share(self, name: str) -> SliceShare | None:
-        division = self._divisions.get(name)
-        if division is None:
-            self._divide(name)
-            division = self._divisions.get(name)
-        if division is None or not division.domains:
-            return None
-        return self._current(division, self._runtime.clock.monotonic())
-
-    def _current(self, division: _Division, now: float) -> SliceShare:
-        before = division.before
-        if before is None or now - division.changed_at > _IN_FORCE_S:
-            return division.share
-        if before.count == division.share.count:
-            return division.share
-        return narrower(before, division.share)
-
-    def _slice_domain(self, index: int) -> str:
-        domains = self._config.state.fleet.domains
-        return domains[index % len(domains)] if domains else ''
+        for (name, _), (held, _) in self._slices.items():
+            if name in names and (share := self._divisions.share(name)):
+                held.set_share(share, now)
 
     def _slice(
         self, workspace: str, index: int, share: SliceShare
@@ -277,7 +214,7 @@
         """Return the bucket of a slice if it is held here now."""
         key = (workspace, index)
         since = self._rosters.since(
-            self._slice_domain(index), f'{workspace}/{index}'
+            self._divisions.domain(index), f'{workspace}/{index}'
         )
         if since is None:
             return None
@@ -285,7 +222,7 @@
         held = self._slices.get(key)
         if held is None or held[1] != since:
             # Another holder may have granted before: start empty then.
-            begin = max(since, self._divisions[workspace].changed_at)
+            begin = max(since, self._divisions.changed_at(workspace))
             first = self._runtime.rng.getrandbits(53)
             held = QuotaSlice(share, begin, first_grant_id=first), since
             self._slices[key] = held
@@ -298,7 +235,7 @@
         return batch is not None
 
     def _refusal(self, workspace: str, demand: _Demand) -> Refusal:
-        share = self._share(workspace)
+        share = self._divisions.share(workspace)
         count = share.count if share else 0
         if len(demand.unreachable) >= count:
             return Refusal(Reason.QUOTA_UNREACHABLE, retry_after_s=1.0)
@@ -331,7 +268,7 @@
 
     def _open_slices(self, workspace: str, demand: _Demand) -> list[int]:
         """Return the slices to ask: own domain, own region, the rest."""
-        share = self._share(workspace)
+        share = self._divisions.share(workspace)
         if share is None:
             return []
         now = self._runtime.clock.monotonic()
@@ -340,7 +277,7 @@
         region = fleet.regions.get(own)
 
         def distance(index: int) -> tuple[int, float]:
-            domain = self._slice_domain(index)
+            domain = self._divisions.domain(index)
             is_near = region and fleet.regions.get(domain) == region
             far = 0 if domain == own else 1 if is_near else 2
             return far, self._runtime.rng.random()
@@ -371,7 +308,7 @@
     async def _draw(
         self, workspace: str, demand: _Demand, index: int, count: int
     ) -> int:
-        domain = self._slice_domain(index)
+        domain = self._divisions.domain(index)
         holder = self._rosters.holder(domain, f'{workspace}/{index}')
         message = DrawTokens(
             workspace, index, count, self._rosters.roster(domain).epoch
@@ -429,7 +366,7 @@
     def _return_unspent(
         self, workspace: str, demand: _Demand, now: float
     ) -> None:
-        share = self._share(workspace)
+        share = self._divisions.share(workspace)
         lifetime_s = share.lifetime_s if share else self._lifetime_s
         before = now + lifetime_s * _RETURN_SHARE
         for batch in demand.pool.drain(now, before=before):
