Refuse fewer requests that are within their workspace's rate

Cause: the refusals hit small workspaces only (43/s in 10 slices). An entry took two close requests for a high demand and drew spare tokens, which then lay at other entries; draws in random order left some slices full, which lose what accrues, beside empty ones; and the next token was due about 7 ms after the refusal. Fewer slices and shorter tokens help too, but cost more when a holder is lost or far away. More than 4 waiting requests of a workspace at an entry only hold up the refusals of a flood.

--- a/packages/core/src/turmericrouter_core/quota.py
+++ b/packages/core/src/turmericrouter_core/quota.py
@@ -194,6 +194,31 @@
         return wait_s + max(0.0, self._filled_at - now)
 
 
+class DemandRate:
+    """Requests a second of one workspace at an entry, smoothed.
+
+    Args:
+        window_s: Seconds over which a request's weight falls to 1/e.
+    """
+
+    def __init__(self, window_s: float) -> None:
+        self._window_s = window_s
+        self._weight = 0.0
+        self._weighed_at = -math.inf
+
+    def add(self, now: float) -> None:
+        """Take in a request."""
+        self._weight = 1 + self._weight * self._decay(now)
+        self._weighed_at = now
+
+    def per_s(self, now: float) -> float:
+        """Return the requests a second."""
+        return self._weight * self._decay(now) / self._window_s
+
+    def _decay(self, now: float) -> float:
+        return math.exp((self._weighed_at - now) / self._window_s)
+
+
 @dataclasses.dataclass(slots=True)
 class Batch:
     """Tokens of one grant at an entry.
@@ -217,6 +242,11 @@
     def __init__(self) -> None:
         self._batches: list[Batch] = []
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no batch is kept, not even an expired one."""
+        return not self._batches
+
     def available(self, now: float) -> int:
         """Return the tokens that can be spent."""
         return sum(b.left for b in self._batches if now < b.expires_at)
--- a/packages/daemon/src/turmericrouter_daemon/application.py
+++ b/packages/daemon/src/turmericrouter_daemon/application.py
@@ -156,7 +156,6 @@
         )
         await self._peer_server.start()
         await self._rosters.start()
-        await self._quota.start()
         await self._membership.start()
         await self._config.start()
         await self._directory.start()
--- a/packages/daemon/src/turmericrouter_daemon/quota_service.py
+++ b/packages/daemon/src/turmericrouter_daemon/quota_service.py
@@ -14,6 +14,7 @@
 from turmericrouter_core.messages import ReturnTokens
 from turmericrouter_core.messages import TokensGranted
 from turmericrouter_core.quota import Batch
+from turmericrouter_core.quota import DemandRate
 from turmericrouter_core.quota import QuotaSlice
 from turmericrouter_core.quota import SliceShare
 from turmericrouter_core.quota import TokenPool
@@ -31,8 +32,12 @@
 _UPKEEP_PERIOD_S = 0.02
 # Tokens are returned when this share of their lifetime is left.
 _RETURN_SHARE = 0.3
-# Weight of the newest upkeep period in the estimate of the demand.
-_DEMAND_WEIGHT = 0.2
+# A shorter window takes two requests that happen to be close for a high
+# demand, and draws tokens that nobody spends.
+_DEMAND_WINDOW_S = 1.0
+# Waiting requests of a workspace take places at the entry that others need.
+# With 32, all requests of a workspace at ten times its rate waited.
+_MAX_WAITING = 4
 _UNREACHABLE_PAUSE_S = 0.25
 
 _taken: contextvars.ContextVar[Batch | None] = contextvars.ContextVar(
@@ -45,9 +50,10 @@
     """Tokens of one workspace at this entry."""
 
     pool: TokenPool = dataclasses.field(default_factory=TokenPool)
-    asked: int = 0
+    rate: DemandRate = dataclasses.field(
+        default_factory=lambda: DemandRate(_DEMAND_WINDOW_S)
+    )
     waiting: int = 0
-    per_s: float = 0.0
     # Monotonic second until which a slice is not asked.
     closed_until: dict[int, float] = dataclasses.field(default_factory=dict)
     unreachable: set[int] = dataclasses.field(default_factory=set)
@@ -99,40 +105,81 @@
         settings = runtime.settings.quota
         self._lifetime_s = settings.token_lifetime_ms / 1000
         self._timeout_s = settings.draw_timeout_ms / 1000
+        self._max_wait_s = settings.max_wait_ms / 1000
         self._divisions = QuotaDivisions(config, runtime.clock, settings)
         # Bucket and tenure by (workspace, slice).
         self._slices: dict[tuple[str, int], tuple[QuotaSlice, float]] = {}
         self._demands: dict[str, _Demand] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._is_upkeep_planned = False
         config.on_config(self._on_config)
 
-    async def start(self) -> None:
-        """Start to keep pools filled."""
-        self._runtime.timers.every(
-            _UPKEEP_PERIOD_S, self._keep_up, name='quota'
-        )
+    async def acquire(
+        self, workspace: str, deadline: float = math.inf
+    ) -> Refusal | None:
+        """Take a token, or return why there is none.
+
+        Slices hold whole tokens and parts of them. All may be empty for a
+        moment although the workspace is within its rate, so a request waits
+        up to `quota.max_wait_ms` for a token that is due by then.
 
-    async def acquire(self, workspace: str) -> Refusal | None:
-        """Take a token, or return why there is none."""
+        Args:
+            workspace: Name of the workspace.
+            deadline: Monotonic second until which the request may wait.
+        """
         demand = self._demands.setdefault(workspace, _Demand())
-        demand.asked += 1
+        now = self._runtime.clock.monotonic()
+        demand.rate.add(now)
         if self._take(demand):
             return None
         demand.waiting += 1
         try:
-            # Requests that wait at the same time share one draw. Tokens of
-            # a draw may go to later requests, so only a draw that grants
-            # nothing at all is the end.
-            while drawing := self._shared_draw(workspace, demand):
-                granted = await asyncio.shield(drawing)
-                if self._take(demand):
-                    return None
-                if not granted:
-                    break
-            return self._refusal(workspace, demand)
+            until = min(deadline, now + self._max_wait_s)
+            return await self._wait_token(workspace, demand, until)
         finally:
             demand.waiting -= 1
 
+    async def _wait_token(
+        self, workspace: str, demand: _Demand, until: float
+    ) -> Refusal | None:
+        while True:
+            granted = 0
+            # Requests that wait at the same time share one draw, and later
+            # requests may take its tokens; then it is repeated.
+            if drawing := self._shared_draw(workspace, demand):
+                granted = await asyncio.shield(drawing)
+            if self._take(demand):
+                return None
+            if granted:
+                continue
+            now = self._runtime.clock.monotonic()
+            due_at = max(now, self._next_token_at(workspace, demand))
+            if due_at > until or not self._may_wait(workspace, demand):
+                return self._refusal(workspace, demand)
+            await asyncio.sleep(due_at - now)
+            if self._take(demand):
+                return None
+
+    def _next_token_at(self, workspace: str, demand: _Demand) -> float:
+        """Return the monotonic second at which a slice is asked again."""
+        share = self._divisions.share(workspace)
+        return min(
+            (
+                demand.closed_until.get(index, 0.0)
+                for index in range(share.count if share else 0)
+                if index not in demand.unreachable
+            ),
+            default=math.inf,
+        )
+
+    def _may_wait(self, workspace: str, demand: _Demand) -> bool:
+        """Return whether the tokens due suffice for those that wait."""
+        share = self._divisions.share(workspace)
+        if share is None:
+            return False
+        due = share.count * share.rate_per_s * self._max_wait_s
+        return demand.waiting <= min(1 + due, _MAX_WAITING)
+
     def give_back(self, workspace: str) -> None:
         """Return the token of this task's request, which was not run."""
         batch = _taken.get()
@@ -267,7 +314,12 @@
         return task
 
     def _open_slices(self, workspace: str, demand: _Demand) -> list[int]:
-        """Return the slices to ask: own domain, own region, the rest."""
+        """Return the slices to ask: own domain, own region, the rest.
+
+        Among equally near ones the one that was asked longest ago comes
+        first: the levels stay alike, so that few slices are full and lose
+        what accrues while others are empty.
+        """
         share = self._divisions.share(workspace)
         if share is None:
             return []
@@ -276,32 +328,36 @@
         own = self._runtime.settings.host.domain
         region = fleet.regions.get(own)
 
-        def distance(index: int) -> tuple[int, float]:
+        def order(index: int) -> tuple[int, float, float]:
             domain = self._divisions.domain(index)
             is_near = region and fleet.regions.get(domain) == region
             far = 0 if domain == own else 1 if is_near else 2
-            return far, self._runtime.rng.random()
+            asked_at = demand.closed_until.get(index, 0.0)
+            return far, asked_at, self._runtime.rng.random()
 
         open_slices = [
             index
             for index in range(share.count)
             if demand.closed_until.get(index, 0.0) <= now
         ]
-        return sorted(open_slices, key=distance)
+        return sorted(open_slices, key=order)
 
     async def _draw_any(self, workspace: str, demand: _Demand) -> int:
-        """Draw until the expected demand is met or the slices are empty.
+        """Draw until those that wait are served or the slices are empty.
+
+        Tokens for the expected demand come along from the same slices; no
+        farther slice is asked for them.
 
         Returns:
             Tokens granted.
         """
-        wanted = self._wanted(demand)
+        wanted = self._wanted(workspace, demand)
         granted = 0
         for index in self._open_slices(workspace, demand)[:_MAX_DRAWS]:
             granted += await self._draw(
                 workspace, demand, index, wanted - granted
             )
-            if granted >= wanted:
+            if granted >= min(wanted, max(1, demand.waiting)):
                 break
         return granted
 
@@ -328,6 +384,7 @@
             demand.pool.add(
                 Batch(source, granted.grant, granted.count, expires_at)
             )
+            self._plan_upkeep()
         return granted.count
 
     async def _ask(
@@ -344,31 +401,47 @@
         except LinkError:
             return None
 
-    def _wanted(self, demand: _Demand) -> int:
+    def _wanted(self, workspace: str, demand: _Demand) -> int:
         """Return the tokens to draw: the demand of half a lifetime."""
         now = self._runtime.clock.monotonic()
-        expected = max(demand.per_s * self._lifetime_s / 2, demand.waiting)
-        missing = math.ceil(expected) - demand.pool.available(now)
+        expected = demand.rate.per_s(now) * self._token_s(workspace) / 2
+        missing = max(int(expected), demand.waiting) - demand.pool.available(
+            now
+        )
         return min(max(1, missing), _MAX_GRANT)
 
+    def _token_s(self, workspace: str) -> float:
+        """Return the lifetime of a workspace's tokens."""
+        share = self._divisions.share(workspace)
+        return share.lifetime_s if share else self._lifetime_s
+
+    def _plan_upkeep(self) -> None:
+        """Look after the pools once more; none is needed without tokens."""
+        if not self._is_upkeep_planned:
+            self._is_upkeep_planned = True
+            self._runtime.timers.after(
+                _UPKEEP_PERIOD_S, self._keep_up, name='quota'
+            )
+
     def _keep_up(self) -> None:
         """Return what will not be spent and draw before tokens run out."""
+        self._is_upkeep_planned = False
         now = self._runtime.clock.monotonic()
         for workspace, demand in self._demands.items():
-            rate = demand.asked / _UPKEEP_PERIOD_S
-            demand.per_s += _DEMAND_WEIGHT * (rate - demand.per_s)
-            demand.asked = 0
-            self._return_unspent(workspace, demand, now)
-            low = demand.per_s * self._lifetime_s / 4
+            if demand.pool.is_empty:
+                continue
+            token_s = self._token_s(workspace)
+            self._return_unspent(workspace, demand, now, token_s)
+            if not demand.pool.is_empty:
+                self._plan_upkeep()
+            low = demand.rate.per_s(now) * token_s / 4
             if low >= 1 and demand.pool.available(now) < low:
                 self._shared_draw(workspace, demand)
 
     def _return_unspent(
-        self, workspace: str, demand: _Demand, now: float
+        self, workspace: str, demand: _Demand, now: float, token_s: float
     ) -> None:
-        share = self._divisions.share(workspace)
-        lifetime_s = share.lifetime_s if share else self._lifetime_s
-        before = now + lifetime_s * _RETURN_SHARE
+        before = now + token_s * _RETURN_SHARE
         for batch in demand.pool.drain(now, before=before):
             holder, index = batch.source
             message = ReturnTokens(
--- a/packages/daemon/src/turmericrouter_daemon/settings.py
+++ b/packages/daemon/src/turmericrouter_daemon/settings.py
@@ -176,6 +176,8 @@
         holders_per_domain: Most holder addresses per failure domain.
         token_lifetime_ms: Milliseconds for which a drawn token holds.
         draw_timeout_ms: Milliseconds to wait for a holder.
+        max_wait_ms: Milliseconds that a request waits for a token that is
+            due by then; 0 to refuse at once.
         fence_after_s: Seconds without the log after which a holder that
             sees at most half of its domain stops.
         takeover_after_s: Seconds after which a dead holder is replaced.
@@ -186,6 +188,7 @@
     holders_per_domain: Count = 8
     token_lifetime_ms: Count = 250
     draw_timeout_ms: Count = 200
+    max_wait_ms: NotNegative = 100
     fence_after_s: Positive = 20.0
     takeover_after_s: Positive = 60.0
     max_pause_s: Positive = 5.0
