Split the holder's buckets from the quota service

Ruled out: a split of the entry's part; its draws, pools and waiting requests share one state. Conclusion: the code moved as it was; tests of the service cover it.

--- a/packages/daemon/src/turmericrouter_daemon/quota_service.py
+++ b/packages/daemon/src/turmericrouter_daemon/quota_service.py
@@ -15,18 +15,17 @@
 from turmericrouter_core.messages import TokensGranted
 from turmericrouter_core.quota import Batch
 from turmericrouter_core.quota import DemandRate
-from turmericrouter_core.quota import QuotaSlice
-from turmericrouter_core.quota import SliceShare
 from turmericrouter_core.quota import TokenPool
 from turmericrouter_core.verdict import Reason
 from turmericrouter_core.verdict import Refusal
 from turmericrouter_daemon.config_sync import ConfigSync
 from turmericrouter_daemon.peer import PeerPool
 from turmericrouter_daemon.quota_division import QuotaDivisions
+from turmericrouter_daemon.quota_holder import HeldSlices
+from turmericrouter_daemon.quota_holder import MAX_GRANT
 from turmericrouter_daemon.roster_service import RosterService
 from turmericrouter_daemon.runtime import Runtime
 
-_MAX_GRANT = 1000
 # Draws that one request waits for at most, one after the other.
 _MAX_DRAWS = 16
 _UPKEEP_PERIOD_S = 0.02
@@ -107,8 +106,7 @@
         self._timeout_s = settings.draw_timeout_ms / 1000
         self._max_wait_s = settings.max_wait_ms / 1000
         self._divisions = QuotaDivisions(config, runtime.clock, settings)
-        # Bucket and tenure by (workspace, slice).
-        self._slices: dict[tuple[str, int], tuple[QuotaSlice, float]] = {}
+        self._held = HeldSlices(runtime, self._divisions, rosters)
         self._demands: dict[str, _Demand] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_upkeep_planned = False
@@ -195,86 +193,31 @@
     def _use(self, name: str) -> QuotaUse:
         now = self._runtime.clock.monotonic()
         quota = self._divisions.workspace(name)
-        held = [
-            bucket.level(now)
-            for (workspace, index), (bucket, _) in self._slices.items()
-            if workspace == name and self._holds(name, index)
-        ]
+        levels = self._held.levels(name, now)
         demand = self._demands.get(name)
         return QuotaUse(
             name,
             quota.rate_per_s,
             quota.burst,
-            len(held),
-            sum(held),
+            len(levels),
+            sum(levels),
             demand.pool.available(now) if demand else 0,
         )
 
-    def _holds(self, workspace: str, index: int) -> bool:
-        domain = self._divisions.domain(index)
-        return self._rosters.since(domain, f'{workspace}/{index}') is not None
-
     def handle_draw(
         self, message: DrawTokens, sender: Hello | None
     ) -> TokensGranted:
         """Grant tokens as holder."""
-        share = self._divisions.share(message.workspace)
-        domain = self._divisions.domain(message.slice_index)
-        self._rosters.hear(domain, message.epoch)
-        if share is None or message.slice_index >= share.count:
-            return TokensGranted(0, 0, fenced=True)
-        held = self._slice(message.workspace, message.slice_index, share)
-        if held is None:
-            return TokensGranted(0, 0, fenced=True)
-        grant = held.draw(
-            min(message.count, _MAX_GRANT), self._runtime.clock.monotonic()
-        )
-        wait_ms = min(grant.retry_after_s, 60.0) * 1000
-        return TokensGranted(
-            grant.count,
-            math.floor(grant.lifetime_s * 1000),
-            retry_after_ms=math.ceil(wait_ms),
-            grant=grant.grant_id,
-        )
+        return self._held.draw(message)
 
     def handle_return(
         self, message: ReturnTokens, sender: Hello | None
     ) -> None:
         """Take unspent tokens back as holder."""
-        held = self._slices.get((message.workspace, message.slice_index))
-        if held is not None:
-            held[0].give_back(
-                message.grant, message.count, self._runtime.clock.monotonic()
-            )
+        self._held.give_back(message)
 
     def _on_config(self, applied: Applied) -> None:
-        names = frozenset(self._divisions.take_in(applied))
-        now = self._runtime.clock.monotonic()
-        # A decrease applies at once, not at the next draw.
-        for (name, _), (held, _) in self._slices.items():
-            if name in names and (share := self._divisions.share(name)):
-                held.set_share(share, now)
-
-    def _slice(
-        self, workspace: str, index: int, share: SliceShare
-    ) -> QuotaSlice | None:
-        """Return the bucket of a slice if it is held here now."""
-        key = (workspace, index)
-        since = self._rosters.since(
-            self._divisions.domain(index), f'{workspace}/{index}'
-        )
-        if since is None:
-            return None
-        now = self._runtime.clock.monotonic()
-        held = self._slices.get(key)
-        if held is None or held[1] != since:
-            # Another holder may have granted before: start empty then.
-            begin = max(since, self._divisions.changed_at(workspace))
-            first = self._runtime.rng.getrandbits(53)
-            held = QuotaSlice(share, begin, first_grant_id=first), since
-            self._slices[key] = held
-        held[0].set_share(share, now)
-        return held[0]
+        self._held.update(self._divisions.take_in(applied))
 
     def _take(self, demand: _Demand) -> bool:
         batch = demand.pool.take(self._runtime.clock.monotonic())
@@ -408,7 +351,7 @@
         missing = max(int(expected), demand.waiting) - demand.pool.available(
             now
         )
-        return min(max(1, missing), _MAX_GRANT)
+        return min(max(1, missing), MAX_GRANT)
 
     def _token_s(self, workspace: str) -> float:
         """Return the lifetime of a workspace's tokens."""
