--- a/packages/daemon/src/turmericrouter_daemon/quota_service.py
+++ b/packages/daemon/src/turmericrouter_daemon/quota_service.py
@@ -8,62 +8,51 @@
 from typing import Any
 
 from turmericrouter_core.config import Applied
-from turmericrouter_core.config import Workspace
 from turmericrouter_core.errors import LinkError
 from turmericrouter_core.messages import DrawTokens
 from turmericrouter_core.messages import Hello
 from turmericrouter_core.messages import ReturnTokens
 from turmericrouter_core.messages import TokensGranted
 from turmericrouter_core.quota import Batch
-from turmericrouter_core.quota import narrower
-from turmericrouter_core.quota import QuotaSlice
-from turmericrouter_core.quota import slices_for
-from turmericrouter_core.quota import SliceShare
+from turmericrouter_core.quota import DemandRate
 from turmericrouter_core.quota import TokenPool
 from turmericrouter_core.verdict import Reason
 from turmericrouter_core.verdict import Refusal
 from turmericrouter_daemon.config_sync import ConfigSync
 from turmericrouter_daemon.peer import PeerPool
+from turmericrouter_daemon.quota_division import QuotaDivisions
+from turmericrouter_daemon.quota_holder import HeldSlices
+from turmericrouter_daemon.quota_holder import MAX_GRANT
 from turmericrouter_daemon.roster_service import RosterService
 from turmericrouter_daemon.runtime import Runtime
 
-# An accepted configuration is in force everywhere within this time (P12).
-_IN_FORCE_S = 10.0
-_MAX_GRANT = 1000
 # Draws that one request waits for at most, one after the other.
 _MAX_DRAWS = 16
 _UPKEEP_PERIOD_S = 0.02
 # Tokens are returned when this share of their lifetime is left.
 _RETURN_SHARE = 0.3
-# Weight of the newest upkeep period in the estimate of the demand.
-_DEMAND_WEIGHT = 0.2
+# A shorter window takes two requests that happen to be close for a high
+# demand, and draws tokens that nobody spends.
+_DEMAND_WINDOW_S = 1.0
+# Waiting requests of a workspace take places at the entry that others need.
+# With 32, all requests of a workspace at ten times its rate waited.
+_MAX_WAITING = 4
 _UNREACHABLE_PAUSE_S = 0.25
-_WORKSPACE_SCOPE = 'workspace/'
 
 _taken: contextvars.ContextVar[Batch | None] = contextvars.ContextVar(
     'taken_token', default=None
 )
 
 
-@dataclasses.dataclass(slots=True)
-class _Division:
-    """Division of a workspace's quota, and what came before it."""
-
-    workspace: Workspace
-    domains: int
-    share: SliceShare
-    changed_at: float
-    before: SliceShare | None = None
-
-
 @dataclasses.dataclass(slots=True)
 class _Demand:
     """Tokens of one workspace at this entry."""
 
     pool: TokenPool = dataclasses.field(default_factory=TokenPool)
-    asked: int = 0
+    rate: DemandRate = dataclasses.field(
+        default_factory=lambda: DemandRate(_DEMAND_WINDOW_S)
+    )
     waiting: int = 0
-    per_s: float = 0.0
     # Monotonic second until which a slice is not asked.
     closed_until: dict[int, float] = dataclasses.field(default_factory=dict)
     unreachable: set[int] = dataclasses.field(default_factory=set)
@@ -113,43 +102,82 @@
         self._peers = peers
         self._rosters = rosters
         settings = runtime.settings.quota
-        self._holders = settings.holders_per_domain
         self._lifetime_s = settings.token_lifetime_ms / 1000
         self._timeout_s = settings.draw_timeout_ms / 1000
-        self._divisions: dict[str, _Division] = {}
-        # Bucket and tenure by (workspace, slice).
-        self._slices: dict[tuple[str, int], tuple[QuotaSlice, float]] = {}
+        self._max_wait_s = settings.max_wait_ms / 1000
+        self._divisions = QuotaDivisions(config, runtime.clock, settings)
+        self._held = HeldSlices(runtime, self._divisions, rosters)
         self._demands: dict[str, _Demand] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._is_upkeep_planned = False
         config.on_config(self._on_config)
 
-    async def start(self) -> None:
-        """Start to keep pools filled."""
-        self._runtime.timers.every(
-            _UPKEEP_PERIOD_S, self._keep_up, name='quota'
-        )
+    async def acquire(
+        self, workspace: str, deadline: float = math.inf
+    ) -> Refusal | None:
+        """Take a token, or return why there is none.
+
+        Slices hold whole tokens and parts of them. All may be empty for a
+        moment although the workspace is within its rate, so a request waits
+        up to `quota.max_wait_ms` for a token that is due by then.
 
-    async def acquire(self, workspace: str) -> Refusal | None:
-        """Take a token, or return why there is none."""
+        Args:
+            workspace: Name of the workspace.
+            deadline: Monotonic second until which the request may wait.
+        """
         demand = self._demands.setdefault(workspace, _Demand())
-        demand.asked += 1
+        now = self._runtime.clock.monotonic()
+        demand.rate.add(now)
         if self._take(demand):
             return None
         demand.waiting += 1
         try:
-            # Requests that wait at the same time share one draw. Tokens of
-            # a draw may go to later requests, so only a draw that grants
-            # nothing at all is the end.
-            while drawing := self._shared_draw(workspace, demand):
-                granted = await asyncio.shield(drawing)
-                if self._take(demand):
-                    return None
-                if not granted:
-                    break
-            return self._refusal(workspace, demand)
+            until = min(deadline, now + self._max_wait_s)
+            return await self._wait_token(workspace, demand, until)
         finally:
             demand.waiting -= 1
 
+    async def _wait_token(
+        self, workspace: str, demand: _Demand, until: float
+    ) -> Refusal | None:
+        while True:
+            granted = 0
+            # Requests that wait at the same time share one draw, and later
+            # requests may take its tokens; then it is repeated.
+            if drawing := self._shared_draw(workspace, demand):
+                granted = await asyncio.shield(drawing)
+            if self._take(demand):
+                return None
+            if granted:
+                continue
+            now = self._runtime.clock.monotonic()
+            due_at = max(now, self._next_token_at(workspace, demand))
+            if due_at > until or not self._may_wait(workspace, demand):
+                return self._refusal(workspace, demand)
+            await asyncio.sleep(due_at - now)
+            if self._take(demand):
+                return None
+
+    def _next_token_at(self, workspace: str, demand: _Demand) -> float:
+        """Return the monotonic second at which a slice is asked again."""
+        share = self._divisions.share(workspace)
+        return min(
+            (
+                demand.closed_until.get(index, 0.0)
+                for index in range(share.count if share else 0)
+                if index not in demand.unreachable
+            ),
+            default=math.inf,
+        )
+
+    def _may_wait(self, workspace: str, demand: _Demand) -> bool:
+        """Return whether the tokens due suffice for those that wait."""
+        share = self._divisions.share(workspace)
+        if share is None:
+            return False
+        due = share.count * share.rate_per_s * self._max_wait_s
+        return demand.waiting <= min(1 + due, _MAX_WAITING)
+
     def give_back(self, workspace: str) -> None:
         """Return the token of this task's request, which was not run."""
         batch = _taken.get()
@@ -160,137 +188,36 @@
 
     def uses(self) -> list[QuotaUse]:
         """Return the quota of all workspaces, for operators."""
-        return [self._use(name) for name in sorted(self._divisions)]
+        return [self._use(name) for name in self._divisions.names]
 
     def _use(self, name: str) -> QuotaUse:
         now = self._runtime.clock.monotonic()
-        quota = self._divisions[name].workspace
-        held = [
-            bucket.level(now)
-            for (workspace, index), (bucket, _) in self._slices.items()
-            if workspace == name and self._holds(name, index)
-        ]
+        quota = self._divisions.workspace(name)
+        levels = self._held.levels(name, now)
         demand = self._demands.get(name)
         return QuotaUse(
             name,
             quota.rate_per_s,
             quota.burst,
-            len(held),
-            sum(held),
+            len(levels),
+            sum(levels),
             demand.pool.available(now) if demand else 0,
         )
 
-    def _holds(self, workspace: str, index: int) -> bool:
-        domain = self._slice_domain(index)
-        return self._rosters.since(domain, f'{workspace}/{index}') is not None
-
     def handle_draw(
         self, message: DrawTokens, sender: Hello | None
     ) -> TokensGranted:
         """Grant tokens as holder."""
-        share = self._share(message.workspace)
-        domain = self._slice_domain(message.slice_index)
-        self._rosters.hear(domain, message.epoch)
-        if share is None or message.slice_index >= share.count:
-            return TokensGranted(0, 0, fenced=True)
-        held = self._slice(message.workspace, message.slice_index, share)
-        if held is None:
-            return TokensGranted(0, 0, fenced=True)
-        grant = held.draw(
-            min(message.count, _MAX_GRANT), self._runtime.clock.monotonic()
-        )
-        wait_ms = min(grant.retry_after_s, 60.0) * 1000
-        return TokensGranted(
-            grant.count,
-            math.floor(grant.lifetime_s * 1000),
-            retry_after_ms=math.ceil(wait_ms),
-            grant=grant.grant_id,
-        )
+        return self._held.draw(message)
 
     def handle_return(
         self, message: ReturnTokens, sender: Hello | None
     ) -> None:
         """Take unspent tokens back as holder."""
-        held = self._slices.get((message.workspace, message.slice_index))
-        if held is not None:
-            held[0].give_back(
-                message.grant, message.count, self._runtime.clock.monotonic()
-            )
+        self._held.give_back(message)
 
     def _on_config(self, applied: Applied) -> None:
-        for scope in applied.changed:
-            if scope == 'fleet':
-                for name in list(self._divisions):
-                    self._divide(name)
-            elif scope.startswith(_WORKSPACE_SCOPE):
-                self._divide(scope.removeprefix(_WORKSPACE_SCOPE))
-
-    def _divide(self, name: str) -> None:
-        """Take in a workspace's quota or the number of domains."""
-        workspace = self._config.state.workspace(name)
-        if workspace is None:
-            self._divisions.pop(name, None)
-            return
-        domains = len(self._config.state.fleet.domains)
-        share = slices_for(
-            workspace,
-            domains=domains,
-            holders=self._holders,
-            lifetime_s=self._lifetime_s,
-        )
-        now = self._runtime.clock.monotonic()
-        division = _Division(workspace, domains, share, changed_at=now)
-        known = self._divisions.get(name)
-        # Without domains there were no slices yet.
-        if known is not None and known.domains and share != known.share:
-            division.before = self._current(known, now)
-        self._divisions[name] = division
-        # A decrease applies at once, not at the next draw.
-        for (held_name, _), (held, _) in self._slices.items():
-            if held_name == name:
-                held.set_share(self._current(division, now), now)
-
-    def _share(self, name: str) -> SliceShare | None:
-        division = self._divisions.get(name)
-        if division is None:
-            self._divide(name)
-            division = self._divisions.get(name)
-        if division is None or not division.domains:
-            return None
-        return self._current(division, self._runtime.clock.monotonic())
-
-    def _current(self, division: _Division, now: float) -> SliceShare:
-        before = division.before
-        if before is None or now - division.changed_at > _IN_FORCE_S:
-            return division.share
-        if before.count == division.share.count:
-            return division.share
-        return narrower(before, division.share)
-
-    def _slice_domain(self, index: int) -> str:
-        domains = self._config.state.fleet.domains
-        return domains[index % len(domains)] if domains else ''
-
-    def _slice(
-        self, workspace: str, index: int, share: SliceShare
-    ) -> QuotaSlice | None:
-        """Return the bucket of a slice if it is held here now."""
-        key = (workspace, index)
-        since = self._rosters.since(
-            self._slice_domain(index), f'{workspace}/{index}'
-        )
-        if since is None:
-            return None
-        now = self._runtime.clock.monotonic()
-        held = self._slices.get(key)
-        if held is None or held[1] != since:
-            # Another holder may have granted before: start empty then.
-            begin = max(since, self._divisions[workspace].changed_at)
-            first = self._runtime.rng.getrandbits(53)
-            held = QuotaSlice(share, begin, first_grant_id=first), since
-            self._slices[key] = held
-        held[0].set_share(share, now)
-        return held[0]
+        self._held.update(self._divisions.take_in(applied))
 
     def _take(self, demand: _Demand) -> bool:
         batch = demand.pool.take(self._runtime.clock.monotonic())
@@ -298,7 +225,7 @@
         return batch is not None
 
     def _refusal(self, workspace: str, demand: _Demand) -> Refusal:
-        share = self._share(workspace)
+        share = self._divisions.share(workspace)
         count = share.count if share else 0
         if len(demand.unreachable) >= count:
             return Refusal(Reason.QUOTA_UNREACHABLE, retry_after_s=1.0)
@@ -330,8 +257,13 @@
         return task
 
     def _open_slices(self, workspace: str, demand: _Demand) -> list[int]:
-        """Return the slices to ask: own domain, own region, the rest."""
-        share = self._share(workspace)
+        """Return the slices to ask: own domain, own region, the rest.
+
+        Among equally near ones the one that was asked longest ago comes
+        first: the levels stay alike, so that few slices are full and lose
+        what accrues while others are empty.
+        """
+        share = self._divisions.share(workspace)
         if share is None:
             return []
         now = self._runtime.clock.monotonic()
@@ -339,39 +271,43 @@
         own = self._runtime.settings.host.domain
         region = fleet.regions.get(own)
 
-        def distance(index: int) -> tuple[int, float]:
-            domain = self._slice_domain(index)
+        def order(index: int) -> tuple[int, float, float]:
+            domain = self._divisions.domain(index)
             is_near = region and fleet.regions.get(domain) == region
             far = 0 if domain == own else 1 if is_near else 2
-            return far, self._runtime.rng.random()
+            asked_at = demand.closed_until.get(index, 0.0)
+            return far, asked_at, self._runtime.rng.random()
 
         open_slices = [
             index
             for index in range(share.count)
             if demand.closed_until.get(index, 0.0) <= now
         ]
-        return sorted(open_slices, key=distance)
+        return sorted(open_slices, key=order)
 
     async def _draw_any(self, workspace: str, demand: _Demand) -> int:
-        """Draw until the expected demand is met or the slices are empty.
+        """Draw until those that wait are served or the slices are empty.
+
+        Tokens for the expected demand come along from the same slices; no
+        farther slice is asked for them.
 
         Returns:
             Tokens granted.
         """
-        wanted = self._wanted(demand)
+        wanted = self._wanted(workspace, demand)
         granted = 0
         for index in self._open_slices(workspace, demand)[:_MAX_DRAWS]:
             granted += await self._draw(
                 workspace, demand, index, wanted - granted
             )
-            if granted >= wanted:
+            if granted >= min(wanted, max(1, demand.waiting)):
                 break
         return granted
 
     async def _draw(
         self, workspace: str, demand: _Demand, index: int, count: int
     ) -> int:
-        domain = self._slice_domain(index)
+        domain = self._divisions.domain(index)
         holder = self._rosters.holder(domain, f'{workspace}/{index}')
         message = DrawTokens(
             workspace, index, count, self._rosters.roster(domain).epoch
@@ -391,6 +327,7 @@
             demand.pool.add(
                 Batch(source, granted.grant, granted.count, expires_at)
             )
+            self._plan_upkeep()
         return granted.count
 
     async def _ask(
@@ -407,31 +344,47 @@
         except LinkError:
             return None
 
-    def _wanted(self, demand: _Demand) -> int:
+    def _wanted(self, workspace: str, demand: _Demand) -> int:
         """Return the tokens to draw: the demand of half a lifetime."""
         now = self._runtime.clock.monotonic()
-        expected = max(demand.per_s * self._lifetime_s / 2, demand.waiting)
-        missing = math.ceil(expected) - demand.pool.available(now)
-        return min(max(1, missing), _MAX_GRANT)
+        expected = demand.rate.per_s(now) * self._token_s(workspace) / 2
+        missing = max(int(expected), demand.waiting) - demand.pool.available(
+            now
+        )
+        return min(max(1, missing), MAX_GRANT)
+
+    def _token_s(self, workspace: str) -> float:
+        """Return the lifetime of a workspace's tokens."""
+        share = self._divisions.share(workspace)
+        return share.lifetime_s if share else self._lifetime_s
+
+    def _plan_upkeep(self) -> None:
+        """Look after the pools once more; none is needed without tokens."""
+        if not self._is_upkeep_planned:
+            self._is_upkeep_planned = True
+            self._runtime.timers.after(
+                _UPKEEP_PERIOD_S, self._keep_up, name='quota'
+            )
 
     def _keep_up(self) -> None:
         """Return what will not be spent and draw before tokens run out."""
+        self._is_upkeep_planned = False
         now = self._runtime.clock.monotonic()
         for workspace, demand in self._demands.items():
-            rate = demand.asked / _UPKEEP_PERIOD_S
-            demand.per_s += _DEMAND_WEIGHT * (rate - demand.per_s)
-            demand.asked = 0
-            self._return_unspent(workspace, demand, now)
-            low = demand.per_s * self._lifetime_s / 4
+            if demand.pool.is_empty:
+                continue
+            token_s = self._token_s(workspace)
+            self._return_unspent(workspace, demand, now, token_s)
+            if not demand.pool.is_empty:
+                self._plan_upkeep()
+            low = demand.rate.per_s(now) * token_s / 4
             if low >= 1 and demand.pool.available(now) < low:
                 self._shared_draw(workspace, demand)
 
     def _return_unspent(
-        self, workspace: str, demand: _Demand, now: float
+        self, workspace: str, demand: _Demand, now: float, token_s: float
     ) -> None:
-        share = self._share(workspace)
-        lifetime_s = share.lifetime_s if share else self._lifetime_s
-        before = now + lifetime_s * _RETURN_SHARE
+        before = now + token_s * _RETURN_SHARE
         for batch in demand.pool.drain(now, before=before):
             holder, index = batch.source
             message = ReturnTokens(
