--- a/tests/daemon/test_operation_service.py
+++ b/tests/daemon/test_operation_service.py
@@ -233,6 +233,9 @@
     )
     runtime.settings.overload = OverloadSettings()
     runtime.settings.operation = OperationSettings(home_timeout_ms=TIMEOUT_MS)
+    blocklist: Any = mock.Mock()
+    # Otherwise every request is refused before it reaches the quota.
+    blocklist.is_blocked.return_value = False
     return Dispatcher(
         runtime,
         mock.Mock(),
@@ -241,7 +244,7 @@
         mock.Mock(),
         quota,
         operations,
-        mock.Mock(),
+        blocklist,
     )
 
 
