Keep a running request from being refused as cut off

Cause: aiohttp feeds a connection empty data whenever the handler reads a chunk of the body. CallerProtocol took that for the begin of the next request head. A caller that then ended its sending side while its request with a body was running got a 400 that said "request head is cut off" and "not-run".

Ruled out: a fault of aiohttp's parser; the empty feed is how it goes on after a pause, and it yields no message here.

Before and after: python -m pytest -q tests/system/test_half_closed.py: fails before with that 400, passes after. test_entry_limits and test_request_path pass unchanged.

Conclusion: only bytes of the caller begin a head. Such a caller counts as gone and gets no answer, as the docstring of eof_received says.

--- a/packages/daemon/src/turmericrouter_daemon/caller_protocol.py
+++ b/packages/daemon/src/turmericrouter_daemon/caller_protocol.py
@@ -70,6 +70,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser and note whether a head has begun."""
+        if not data:
+            # aiohttp feeds empty data when reading goes on after a pause.
+            super().data_received(data)
+            return
         heads = self._request_count
         in_body = self._in_body()
         super().data_received(data)
