--- a/packages/daemon/src/turmericrouter_daemon/caller_protocol.py
+++ b/packages/daemon/src/turmericrouter_daemon/caller_protocol.py
@@ -83,15 +83,6 @@
         else:
             self._partial_head = not in_body
 
-    def resume_reading(self, resume_parser: bool = True) -> None:
-        """Resume after a pause only.
-
-        aiohttp's streams call this for every chunk that is read, and it
-        runs the parser even if nothing was held back.
-        """
-        if self._reading_paused:
-            super().resume_reading(resume_parser)
-
     def eof_received(self) -> bool | None:  # type: ignore[override]
         """Answer a request that ends early before the connection closes.
 
--- a/packages/daemon/src/turmericrouter_daemon/target.py
+++ b/packages/daemon/src/turmericrouter_daemon/target.py
@@ -151,11 +151,6 @@
                 self._payload = payload
                 self._head.set_result((message, payload))
 
-    def resume_reading(self, resume_parser: bool = True) -> None:
-        """Resume after a pause only; aiohttp calls this for every chunk."""
-        if self._reading_paused:
-            super().resume_reading(resume_parser)
-
     def connection_lost(self, exc: BaseException | None) -> None:
         """End an answer that is read to the end of the connection."""
         super().connection_lost(exc)
