Write the response to a caller in one step

Cause: web.Response makes a case-insensitive dictionary of the headers, goes through five coroutines and joins head and body once more; with to_response it is the largest item of the entry after the socket writes.

Ruled out: separate writes of head and body; aiohttp 3.14.5 joins them already. An own request handler, since keep-alive, cancellation and malformed input would have to be handled again.

HTTP/1.0, HEAD, CONNECT, 1xx, 204 and 304 still go through web.Response.

--- a/packages/daemon/src/turmericrouter_daemon/caller_protocol.py
+++ b/packages/daemon/src/turmericrouter_daemon/caller_protocol.py
@@ -6,6 +6,7 @@
 import functools
 import secrets
 from typing import Any
+from typing import cast
 
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
@@ -20,7 +21,9 @@
 from turmericrouter_daemon.call import Answer
 from turmericrouter_daemon.call import refuse
 from turmericrouter_daemon.logs import Log
+from turmericrouter_daemon.problem import AnswerResponse
 from turmericrouter_daemon.problem import raw_response
+from turmericrouter_daemon.problem import Response
 from turmericrouter_daemon.problem import to_response
 
 _LINGER_S = 2.0
@@ -105,13 +108,13 @@
             self.transport.write(raw_response(answer, request_id))
         return None
 
-    def handle_error(
+    def handle_error(  # type: ignore[override]
         self,
         request: web.BaseRequest,
         status: int = 500,
         exc: BaseException | None = None,
         message: str | None = None,
-    ) -> web.StreamResponse:
+    ) -> AnswerResponse:
         """Return the response of a request that could not be handled."""
         answer = _answer_of(exc)
         if answer.reason is Reason.INTERNAL_ERROR and exc is not None:
@@ -171,14 +174,15 @@
 
     def __init__(
         self,
-        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+        handler: Callable[[web.BaseRequest], Awaitable[Response]],
         log: Log,
         *,
         max_body_bytes: int,
         **options: Any,
     ) -> None:
         super().__init__(
-            handler,
+            # All that aiohttp uses of a response is in `AnswerResponse`.
+            cast(Any, handler),
             request_factory=functools.partial(
                 web.BaseRequest,
                 loop=asyncio.get_running_loop(),
--- a/packages/daemon/src/turmericrouter_daemon/entry.py
+++ b/packages/daemon/src/turmericrouter_daemon/entry.py
@@ -22,6 +22,7 @@
 from turmericrouter_daemon.caller_protocol import read_body
 from turmericrouter_daemon.config_sync import ConfigSync
 from turmericrouter_daemon.dispatch import Dispatcher
+from turmericrouter_daemon.problem import AnswerResponse
 from turmericrouter_daemon.problem import to_response
 from turmericrouter_daemon.runtime import Runtime
 from turmericrouter_daemon.tls import TlsContexts
@@ -117,7 +118,7 @@
             self._web_server.pre_shutdown()
             await self._web_server.shutdown(timeout_s)
 
-    async def _handle(self, request: web.BaseRequest) -> web.Response:
+    async def _handle(self, request: web.BaseRequest) -> AnswerResponse:
         request_id = new_request_id(self._runtime.rng)
         self._in_flight += 1
         self._idle.clear()
--- a/packages/daemon/src/turmericrouter_daemon/local.py
+++ b/packages/daemon/src/turmericrouter_daemon/local.py
@@ -26,6 +26,7 @@
 from turmericrouter_daemon.dispatch import Dispatcher
 from turmericrouter_daemon.gate import CONTEXT_HEADER
 from turmericrouter_daemon.gate import Gate
+from turmericrouter_daemon.problem import Response
 from turmericrouter_daemon.problem import to_response
 from turmericrouter_daemon.runtime import Runtime
 
@@ -112,7 +113,7 @@
             self._web_server.pre_shutdown()
             await self._web_server.shutdown(1.0)
 
-    async def _handle(self, request: web.BaseRequest) -> web.Response:
+    async def _handle(self, request: web.BaseRequest) -> Response:
         if request.path == ANNOUNCEMENT_PATH and request.method == 'PUT':
             return await self._announce(request)
         context = self._gate.contexts.find(
@@ -129,7 +130,7 @@
             self._log_refusal(request, context, answer)
         return to_response(answer, context.request_id)
 
-    async def _announce(self, request: web.BaseRequest) -> web.Response:
+    async def _announce(self, request: web.BaseRequest) -> Response:
         body = await read_body(request, self._max_body_bytes)
         if isinstance(body, Answer):
             return to_response(body, '')
