Choose a target in one pass

Cause: the chooser built up to five lists of all targets per request (not excluded, not ejected, admitting, with room, nearest), and three frozen data classes for the result.

Ruled out: an index by load kept between requests; ejections and levels end by time alone, so the index would have to be checked at each request anyway.

A target gets a rank by room and distance, and the pass keeps those of the best rank. Still linear in the number of targets.

--- a/packages/core/src/turmericrouter_core/balancing.py
+++ b/packages/core/src/turmericrouter_core/balancing.py
@@ -3,9 +3,11 @@
 from collections.abc import Collection
 from collections.abc import Mapping
 from collections.abc import Sequence
-import dataclasses
 import math
 import random
+from typing import NamedTuple
+
+import msgspec
 
 from turmericrouter_core.messages import DirectoryEntry
 from turmericrouter_core.messages import GateLoad
@@ -56,10 +58,16 @@
     }
 )
 _SERVER_ERROR_STATUS = 500
+# Rank of a target: those with room come before those with a queue to wait
+# in, and among these the nearest. Beyond the lowest rank none is chosen.
+_REGION_RANK = 1
+_REMOTE_RANK = 2
+_QUEUE_RANK = 3
+_LOWEST_RANK = _QUEUE_RANK + _REMOTE_RANK
+_OVERFLOW_RANK = _LOWEST_RANK + 1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Candidate:
+class Candidate(msgspec.Struct, frozen=True):
     """A target that was compared.
 
     Args:
@@ -73,8 +81,7 @@
     cost: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Loads:
+class Loads(msgspec.Struct, frozen=True):
     """Targets that were compared; formatted only when it is printed."""
 
     compared: tuple[Candidate, ...] = ()
@@ -86,8 +93,7 @@
         )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Choice:
+class Choice(msgspec.Struct, frozen=True):
     """Result of a choice.
 
     Args:
@@ -150,8 +156,13 @@
             self.level, importance, bucket
         )
 
-    def overflows(self, entry: DirectoryEntry) -> bool:
-        return self.in_flight >= OVERFLOW_FACTOR * self.slots(entry)
+    def queue_rank(self, entry: DirectoryEntry, now: float) -> int:
+        """Return the part of the rank that tells room from a queue."""
+        if self.has_room(entry, now):
+            return 0
+        if self.in_flight < OVERFLOW_FACTOR * self.slots(entry):
+            return _QUEUE_RANK
+        return _OVERFLOW_RANK
 
     def expected_latency_s(self, now: float) -> float:
         """Return the latency, less the longer the target is unused."""
@@ -172,6 +183,20 @@
 _Offered = tuple[DirectoryEntry, _Statistics | None]
 
 
+class _Selection(NamedTuple):
+    """Targets to choose from.
+
+    Args:
+        best: Targets of the best rank with what is known of them.
+        candidates: Targets that are not excluded or ejected.
+        passing: Whether any known one lets the request in.
+    """
+
+    best: list[_Offered]
+    candidates: int
+    passing: bool
+
+
 class TargetChooser:
     """Chooses targets and learns from their answers.
 
@@ -215,35 +240,21 @@
             rng: Source of the random choices.
             excluded: Addresses that were tried already.
         """
-        known = self._statistics
-        offered = [
-            (entry, known.get(entry.address))
-            for entry in entries
-            if entry.address not in excluded
-        ]
-        if not offered:
-            return Choice(Reason.NO_TARGET)
-        # With every target ejected, trying one beats refusing for sure.
-        pool = [
-            pair
-            for pair in offered
-            if pair[1] is None or now >= pair[1].ejected_until
-        ] or offered
-        passing = pool
-        if self._shedding:
-            passing = [
-                pair
-                for pair in pool
-                if pair[1] is None or pair[1].passes(importance, bucket, now)
-            ]
-        if not passing:
-            return Choice(Reason.SHED_AT_ENTRY, candidates=len(pool))
-        usable = _with_room(passing, now)
-        if not usable:
-            return Choice(Reason.NO_ROOM, candidates=len(pool))
-        nearest = self._nearest(usable, regions)
-        entry, compared = _better_of_two(nearest, now, rng)
-        return self._start(entry, compared, len(pool), now)
+        found = self._select(
+            entries, importance, bucket, regions, now, excluded
+        )
+        if not found.candidates:
+            # With every target ejected, trying one beats refusing for sure.
+            found = self._select(
+                entries, importance, bucket, regions, now, excluded, True
+            )
+        if not found.best:
+            if not found.candidates:
+                return Choice(Reason.NO_TARGET)
+            reason = Reason.NO_ROOM if found.passing else Reason.SHED_AT_ENTRY
+            return Choice(reason, candidates=found.candidates)
+        entry, compared = _better_of_two(found.best, now, rng)
+        return self._start(entry, compared, found.candidates, now)
 
     def finish(
         self,
@@ -329,32 +340,57 @@
         known.failures = min(known.failures + 1, 16)
         known.ejected_until = now + length_s
 
-    def _nearest(
-        self, offered: list[_Offered], regions: Mapping[str, str]
-    ) -> list[_Offered]:
-        own = [pair for pair in offered if pair[0].domain == self._domain]
-        if own:
-            return own
+    def _select(
+        self,
+        entries: Sequence[DirectoryEntry],
+        importance: Importance,
+        bucket: int,
+        regions: Mapping[str, str],
+        now: float,
+        excluded: Collection[str],
+        with_ejected: bool = False,
+    ) -> _Selection:
+        """Find the targets of the best rank in one pass."""
+        statistics = self._statistics
+        domain = self._domain
+        best: list[_Offered] = []
+        best_rank = _LOWEST_RANK
+        candidates = 0
+        passing = False
+        for entry in entries:
+            if entry.address in excluded:
+                continue
+            known = statistics.get(entry.address)
+            if known and now < known.ejected_until and not with_ejected:
+                continue
+            candidates += 1
+            rank = 0
+            if entry.domain != domain:
+                rank = self._distance_rank(entry, regions)
+            if rank > best_rank:
+                continue
+            if known is not None:
+                if self._shedding and not known.passes(
+                    importance, bucket, now
+                ):
+                    continue
+                passing = True
+                rank += known.queue_rank(entry, now)
+            if rank < best_rank:
+                best_rank = rank
+                best = [(entry, known)]
+            elif rank == best_rank:
+                best.append((entry, known))
+        return _Selection(best, candidates, passing)
+
+    def _distance_rank(
+        self, entry: DirectoryEntry, regions: Mapping[str, str]
+    ) -> int:
+        """Return the rank of a target in another failure domain."""
         region = regions.get(self._domain)
-        if region is None:
-            return offered
-        near = [
-            pair for pair in offered if regions.get(pair[0].domain) == region
-        ]
-        return near or offered
-
-
-def _with_room(offered: list[_Offered], now: float) -> list[_Offered]:
-    """Return the targets with room, else those with a queue to wait in."""
-    return [
-        (entry, known)
-        for entry, known in offered
-        if known is None or known.has_room(entry, now)
-    ] or [
-        (entry, known)
-        for entry, known in offered
-        if known is None or not known.overflows(entry)
-    ]
+        if region is not None and regions.get(entry.domain) == region:
+            return _REGION_RANK
+        return _REMOTE_RANK
 
 
 def _better_of_two(
