Make fewer objects per call on links and for headers

Cause: a frame was copied into and out of a buffer though most reads bring one whole frame; each call at the gate cost an abstract class check (inspect.isawaitable) and a done callback with a copied context; generators ran per header.

Ruled out: one timer per link for all timeouts, as calls would expire late; running a handler without a task, which Python 3.11 cannot do.

--- a/packages/core/src/turmericrouter_core/codec.py
+++ b/packages/core/src/turmericrouter_core/codec.py
@@ -77,6 +77,14 @@
             ProtocolError: The stream cannot be read on; drop the link.
         """
         buffer = self._buffer
+        if not buffer and len(data) >= _HEADER.size:
+            # Most reads bring one whole frame, which needs no copy.
+            length, code, correlation_id = _HEADER.unpack_from(data)
+            if len(data) == _LENGTH_BYTES + length:
+                self._check_length(length)
+                whole = memoryview(data)[_HEADER.size :]
+                yield correlation_id, decode_message(code, whole)
+                return
         buffer += data
         start = 0
         try:
--- a/packages/daemon/src/turmericrouter_daemon/authorisation.py
+++ b/packages/daemon/src/turmericrouter_daemon/authorisation.py
@@ -49,16 +49,13 @@
     The caller's key, hop-by-hop headers and the system's own headers stay
     here.
     """
-    pairs = (
-        (name.decode(HEADER_ENCODING), value.decode(HEADER_ENCODING))
-        for name, value in request.raw_headers
-    )
-    return tuple(
-        (name, value)
-        for name, value in pairs
-        if (lower := name.lower()) not in _DROPPED_HEADERS
-        and not lower.startswith(_OWN_PREFIX)
-    )
+    headers = []
+    for name_bytes, value in request.raw_headers:
+        name = name_bytes.decode(HEADER_ENCODING)
+        lower = name.lower()
+        if lower not in _DROPPED_HEADERS and not lower.startswith(_OWN_PREFIX):
+            headers.append((name, value.decode(HEADER_ENCODING)))
+    return tuple(headers)
 
 
 def find_operation(
--- a/packages/daemon/src/turmericrouter_daemon/peer.py
+++ b/packages/daemon/src/turmericrouter_daemon/peer.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-import inspect
 import math
 from typing import Any
 from typing import cast
@@ -172,7 +171,8 @@
         if self._peer is None:
             raise ProtocolError('the first message was not Hello')
         if isinstance(message, Cancel):
-            task = self._tasks.get(correlation)
+            # A task that is cancelled before it starts never ends `_run`.
+            task = self._tasks.pop(correlation, None)
             if task is not None:
                 task.cancel()
             return
@@ -206,10 +206,12 @@
         except Exception as error:
             self._fail(correlation, message, error)
             return
-        if inspect.isawaitable(result):
-            self._start(result, correlation, message)
-        elif result is not None:
+        if result is None:
+            return
+        if isinstance(result, Message):
             self.send(result, correlation)
+        else:
+            self._start(result, correlation, message)
 
     def _start(
         self, work: Awaitable[_Reply], correlation: int, message: Message
@@ -217,9 +219,6 @@
         task = self._loop.create_task(self._run(work, correlation, message))
         if correlation != NOTIFICATION:
             self._tasks[correlation] = task
-            task.add_done_callback(
-                lambda _: self._tasks.pop(correlation, None)
-            )
 
     async def _run(
         self, work: Awaitable[_Reply], correlation: int, message: Message
@@ -229,6 +228,8 @@
         except Exception as error:
             self._fail(correlation, message, error)
             return
+        finally:
+            self._tasks.pop(correlation, None)
         if reply is not None:
             self.send(reply, correlation)
 
--- a/packages/daemon/src/turmericrouter_daemon/target.py
+++ b/packages/daemon/src/turmericrouter_daemon/target.py
@@ -192,8 +192,10 @@
             not message.should_close and self.is_open and excess == 0
         )
         headers = tuple(
-            (name.decode(HEADER_ENCODING), value.decode(HEADER_ENCODING))
-            for name, value in message.raw_headers
+            [
+                (name.decode(HEADER_ENCODING), value.decode(HEADER_ENCODING))
+                for name, value in message.raw_headers
+            ]
         )
         return TargetAnswer(message.code, headers, body)
 
