--- a/packages/daemon/src/turmericrouter_daemon/caller_protocol.py
+++ b/packages/daemon/src/turmericrouter_daemon/caller_protocol.py
@@ -6,6 +6,7 @@
 import functools
 import secrets
 from typing import Any
+from typing import cast
 
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
@@ -20,7 +21,9 @@
 from turmericrouter_daemon.call import Answer
 from turmericrouter_daemon.call import refuse
 from turmericrouter_daemon.logs import Log
+from turmericrouter_daemon.problem import AnswerResponse
 from turmericrouter_daemon.problem import raw_response
+from turmericrouter_daemon.problem import Response
 from turmericrouter_daemon.problem import to_response
 
 _LINGER_S = 2.0
@@ -70,6 +73,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser and note whether a head has begun."""
+        if not data:
+            # aiohttp feeds empty data when reading goes on after a pause.
+            super().data_received(data)
+            return
         heads = self._request_count
         in_body = self._in_body()
         super().data_received(data)
@@ -101,13 +108,13 @@
             self.transport.write(raw_response(answer, request_id))
         return None
 
-    def handle_error(
+    def handle_error(  # type: ignore[override]
         self,
         request: web.BaseRequest,
         status: int = 500,
         exc: BaseException | None = None,
         message: str | None = None,
-    ) -> web.StreamResponse:
+    ) -> AnswerResponse:
         """Return the response of a request that could not be handled."""
         answer = _answer_of(exc)
         if answer.reason is Reason.INTERNAL_ERROR and exc is not None:
@@ -167,14 +174,15 @@
 
     def __init__(
         self,
-        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+        handler: Callable[[web.BaseRequest], Awaitable[Response]],
         log: Log,
         *,
         max_body_bytes: int,
         **options: Any,
     ) -> None:
         super().__init__(
-            handler,
+            # All that aiohttp uses of a response is in `AnswerResponse`.
+            cast(Any, handler),
             request_factory=functools.partial(
                 web.BaseRequest,
                 loop=asyncio.get_running_loop(),
@@ -209,6 +217,12 @@
         await request.writer.write(b'HTTP/1.1 100 Continue\r\n\r\n')
         request.writer.output_size = 0
     try:
+        if request.content.is_eof():
+            # All of it is here; `read` loops with a buffer and two copies.
+            body = request.content.read_nowait()
+            if len(body) > max_bytes:
+                return refuse(Reason.BODY_TOO_LARGE)
+            return body
         return await request.read()
     except HTTPRequestEntityTooLarge:
         return refuse(Reason.BODY_TOO_LARGE)
