Bound the wait for a token by the deadline of the request

Cause: the quota may let a request wait for a token that is due, up to 100 ms, but was not told the deadline of the request. Ruled out: a check after the wait alone; the request would hold a waiting place in vain. Conclusion: the dispatcher passes the deadline on.

--- a/packages/daemon/src/turmericrouter_daemon/dispatch.py
+++ b/packages/daemon/src/turmericrouter_daemon/dispatch.py
@@ -39,8 +39,13 @@
 class Quota(Protocol):
     """Tokens of workspaces."""
 
-    async def acquire(self, workspace: str) -> Refusal | None:
-        """Take a token, or return why there is none."""
+    async def acquire(self, workspace: str, deadline: float) -> Refusal | None:
+        """Take a token, or return why there is none.
+
+        Args:
+            workspace: Name of the workspace.
+            deadline: Monotonic second until which the request may wait.
+        """
 
     def give_back(self, workspace: str) -> None:
         """Return the token of a request that was not run."""
@@ -166,7 +171,7 @@
             return refuse(Reason.QUARANTINED)
         if not call.is_top_level or not call.workspace:
             return await self._attempt_all(call)
-        refusal = await self._quota.acquire(call.workspace)
+        refusal = await self._quota.acquire(call.workspace, call.deadline)
         if refusal is not None:
             return refuse(refusal.reason, retry_after_s=refusal.retry_after_s)
         answer = await self._attempt_all(call)
