Count only requests that cannot be displaced against a full target

The entry refuses when its own requests at a target exceed four times the slots; with a queue of four times the limit lookups alone reach that, although the gate drops a waiting lookup for a booking. Ruled out: a larger factor alone, which lets fewer lookups close the target but still closes it to bookings. Conclusion: requests count by importance, and the factor is 8, above limit and queue together.

--- a/packages/core/src/turmericrouter_core/balancing.py
+++ b/packages/core/src/turmericrouter_core/balancing.py
@@ -32,8 +32,9 @@
 LATENCY_HALF_LIFE_S = 1.0
 DEFAULT_SLOTS = 16
 # Own requests at one target, as a multiple of its slots, beyond which the
-# gate's queue is certainly full.
-OVERFLOW_FACTOR = 4
+# gate's queue is certainly full. Only requests that are at least as important
+# count, since the gate drops less important ones for the new one.
+OVERFLOW_FACTOR = 8
 IDLE_FORGET_S = 300.0
 
 _FULL_REASONS = frozenset(
@@ -119,6 +120,7 @@
         'failures',
         'full_until',
         'in_flight',
+        'in_flight_of',
         'latency_s',
         'level',
         'level_at',
@@ -129,6 +131,7 @@
 
     def __init__(self, now: float) -> None:
         self.in_flight = 0
+        self.in_flight_of = [0] * len(Importance)
         self.latency_s = 0.0
         self.level = Level()
         self.level_at = now
@@ -156,11 +159,20 @@
             self.level, importance, bucket
         )
 
-    def queue_rank(self, entry: DirectoryEntry, now: float) -> int:
+    def count(self, importance: Importance, change: int) -> None:
+        """Count a request that starts (1) or ends (-1)."""
+        self.in_flight += change
+        self.in_flight_of[importance] += change
+
+    def queue_rank(
+        self, entry: DirectoryEntry, importance: Importance, now: float
+    ) -> int:
         """Return the part of the rank that tells room from a queue."""
         if self.has_room(entry, now):
             return 0
-        if self.in_flight < OVERFLOW_FACTOR * self.slots(entry):
+        # These cannot be displaced by the request.
+        ahead = sum(self.in_flight_of[: importance + 1])
+        if ahead < OVERFLOW_FACTOR * self.slots(entry):
             return _QUEUE_RANK
         return _OVERFLOW_RANK
 
@@ -254,12 +266,13 @@
             reason = Reason.NO_ROOM if found.passing else Reason.SHED_AT_ENTRY
             return Choice(reason, candidates=found.candidates)
         entry, compared = _better_of_two(found.best, now, rng)
-        return self._start(entry, compared, found.candidates, now)
+        return self._start(entry, importance, compared, found.candidates, now)
 
     def finish(
         self,
         address: str,
         *,
+        importance: Importance,
         reason: Reason,
         now: float,
         status: int = 0,
@@ -270,6 +283,7 @@
 
         Args:
             address: Address of the chosen entry.
+            importance: Importance of the request.
             reason: `served` or why there is no answer of the target.
             now: Monotonic seconds.
             status: HTTP status of the target.
@@ -279,7 +293,7 @@
         known = self._statistics.get(address)
         if known is None:
             return
-        known.in_flight -= 1
+        known.count(importance, -1)
         known.seen_at = now
         if load is not None:
             known.level, known.level_at = load.level, now
@@ -311,6 +325,7 @@
     def _start(
         self,
         entry: DirectoryEntry,
+        importance: Importance,
         compared: tuple[Candidate, ...],
         candidates: int,
         now: float,
@@ -319,7 +334,7 @@
         if known is None:
             known = self._statistics[entry.address] = _Statistics(now)
         known.latency_s = known.expected_latency_s(now)
-        known.in_flight += 1
+        known.count(importance, 1)
         known.seen_at = now
         is_probe = known.failures > 0
         if is_probe:
@@ -375,7 +390,7 @@
                 ):
                     continue
                 passing = True
-                rank += known.queue_rank(entry, now)
+                rank += known.queue_rank(entry, importance, now)
             if rank < best_rank:
                 best_rank = rank
                 best = [(entry, known)]
--- a/packages/daemon/src/turmericrouter_daemon/dispatch.py
+++ b/packages/daemon/src/turmericrouter_daemon/dispatch.py
@@ -267,6 +267,7 @@
             now = self._runtime.clock.monotonic()
             self._chooser.finish(
                 chosen.address,
+                importance=call.importance,
                 reason=seen,
                 now=now,
                 status=outcome.status if outcome else 0,
