Compute request digests only while a request may be blocked

A mark of a single crash blocks nothing. Ruled out: dropping the check at the gate or at the entry; a started entry lacks marks, and a refusal at the entry spares a token and a hop. The decisions are the same; the state machine checks that nothing blocked is missed. Conclusion: the quarantine says whether any request may be blocked.

--- a/packages/core/src/turmericrouter_core/quarantine.py
+++ b/packages/core/src/turmericrouter_core/quarantine.py
@@ -65,6 +65,8 @@
         self._lifetime_s = lifetime_s
         self._crashes = crashes
         self._marks: dict[bytes, dict[str, _Mark]] = {}
+        # Digests with marks of enough crashes, cleared and old ones included.
+        self._repeated: set[bytes] = set()
         self._count = 0
 
     def __len__(self) -> int:
@@ -72,9 +74,18 @@
 
     @property
     def is_empty(self) -> bool:
-        """Return whether there is no mark, so digests are not needed."""
+        """Return whether there is no mark that a success could clear."""
         return not self._marks
 
+    @property
+    def may_block(self) -> bool:
+        """Return whether any request may be blocked.
+
+        Without it no digest is needed: a mark of a single crash is common in
+        a large fleet, and a digest of every body is not cheap.
+        """
+        return bool(self._repeated)
+
     def is_blocked(self, digest: bytes, now: float) -> bool:
         """Return whether a request has crashed targets too often."""
         standing = [
@@ -139,6 +150,8 @@
                 if now - mark.crashed_at >= self._lifetime_s:
                     del marks[crash_id]
                     self._count -= 1
+            if len(marks) < self._crashes:
+                self._repeated.discard(digest)
             if not marks:
                 del self._marks[digest]
 
@@ -152,6 +165,8 @@
             marks = self._marks.setdefault(mark.digest, {})
             marks[mark.crash_id] = _Mark(crashed_at, mark.cleared)
             self._count += 1
+            if len(marks) >= self._crashes:
+                self._repeated.add(mark.digest)
             return True
         if held.cleared or not mark.cleared:
             return False
@@ -162,6 +177,7 @@
         while self._count >= MAX_MARKS:
             oldest = next(iter(self._marks))
             self._count -= len(self._marks.pop(oldest))
+            self._repeated.discard(oldest)
 
     def _age_ms(self, mark: _Mark, now: float) -> int:
         return int((now - mark.crashed_at) * 1000)
--- a/packages/daemon/src/turmericrouter_daemon/quarantine_service.py
+++ b/packages/daemon/src/turmericrouter_daemon/quarantine_service.py
@@ -26,8 +26,8 @@
 class QuarantineService:
     """Blocks requests that crash targets.
 
-    Digests are computed only while there are marks, so that requests cost
-    nothing extra as long as no target crashes.
+    Digests are computed only while a request has marks of enough crashes to
+    be blocked, or to clear the marks of one that succeeded.
 
     Args:
         runtime: Services of the process.
@@ -71,17 +71,10 @@
 
     def is_blocked(self, call: Call) -> bool:
         """Return whether a request has crashed targets too often."""
-        if self._quarantine.is_empty:
-            return False
-        digest = request_digest(
-            self._key,
-            workspace=call.workspace,
-            route=call.named_route.name,
-            path=call.path,
-            body=call.body,
-            operation_id=call.operation.text if call.operation else '',
+        marks = self._quarantine
+        return marks.may_block and marks.is_blocked(
+            self._digest_call(call), self._now()
         )
-        return self._quarantine.is_blocked(digest, self._now())
 
     def blocks(self, message: Dispatch) -> bool:
         """Return whether a dispatched request has crashed too many targets.
@@ -89,9 +82,10 @@
         The gate asks as well, since an entry that has just started may not
         have learned of the crashes yet.
         """
-        if self._quarantine.is_empty:
-            return False
-        return self._quarantine.is_blocked(self._digest(message), self._now())
+        marks = self._quarantine
+        return marks.may_block and marks.is_blocked(
+            self._digest(message), self._now()
+        )
 
     def crashed(self, messages: Sequence[Dispatch], crash_id: str) -> None:
         """Mark the requests that were in flight when the target crashed.
@@ -136,6 +130,16 @@
             operation_id=message.operation_id,
         )
 
+    def _digest_call(self, call: Call) -> bytes:
+        return request_digest(
+            self._key,
+            workspace=call.workspace,
+            route=call.named_route.name,
+            path=call.path,
+            body=call.body,
+            operation_id=call.operation.text if call.operation else '',
+        )
+
     def _now(self) -> float:
         return self._runtime.clock.monotonic()
 
--- a/tests/core/test_quarantine.py
+++ b/tests/core/test_quarantine.py
@@ -94,9 +94,23 @@
                 ]
                 blocked = quarantine.is_blocked(digest, self.now)
                 assert blocked == (len(standing) >= 2)
+                # Guards against a digest that is not computed in spite of it.
+                assert quarantine.may_block or not blocked
             assert len(quarantine) == len(self.known[host])
 
 
+def test_single_crashes_need_no_digests() -> None:
+    # Guards against every body being digested after any crash in the fleet.
+    quarantine = Quarantine(lifetime_s=LIFETIME_S, crashes=2)
+    quarantine.crash([b'a', b'b'], 't/1', 0.0)
+    quarantine.crash([b'c'], 'u/1', 0.0)
+    assert not quarantine.may_block
+    quarantine.crash([b'a'], 'u/2', 1.0)
+    assert quarantine.may_block
+    quarantine.prune(LIFETIME_S + 0.5)
+    assert not quarantine.may_block
+
+
 TestQuarantine = QuarantineMachine.TestCase
 TestQuarantine.settings = settings(derandomize=True, max_examples=100)
 
