Refuse a late start where starts are asked for

The size of an answer and the look-up of an open start stood twice as well. Ruled out: the may-have-run answer of an unreachable home for it; the start is aborted, so not-run stays true. Conclusion: all rules on late starts are in operation_service.

--- a/packages/core/src/turmericrouter_core/operation.py
+++ b/packages/core/src/turmericrouter_core/operation.py
@@ -73,7 +73,8 @@
     answer: StoredAnswer | None = None
 
 
-def _size(answer: StoredAnswer) -> int:
+def answer_size(answer: StoredAnswer) -> int:
+    """Return the bytes of an answer that count against the bounds."""
     return len(answer.body) + sum(
         len(name) + len(value) for name, value in answer.headers
     )
@@ -182,13 +183,13 @@
             Whether this start was known and open.
         """
         key = (workspace, operation_id)
-        record = self._records.get(key)
-        if record is None or record.nonce != nonce or record.finished:
+        record = self._open_record(key, nonce)
+        if record is None:
             return False
         record.finished = True
         if answer is not None:
             record.answer = answer
-            self._answered[key] = _size(answer)
+            self._answered[key] = answer_size(answer)
             self._answers_bytes += self._answered[key]
             self._trim_answers()
         return True
@@ -213,8 +214,8 @@
             Whether this start was known and open.
         """
         key = (workspace, operation_id)
-        record = self._records.get(key)
-        if record is None or record.nonce != nonce or record.finished:
+        record = self._open_record(key, nonce)
+        if record is None:
             return False
         del self._records[key]
         keys = self._by_second[record.stamped_ms // 1000]
@@ -225,6 +226,12 @@
         self._not_run_at_ms[key] = monotonic_ms
         return True
 
+    def _open_record(self, key: Key, nonce: int) -> _Record | None:
+        record = self._records.get(key)
+        if record is None or record.nonce != nonce or record.finished:
+            return None
+        return record
+
     def _forget_not_run(self, monotonic_ms: float) -> None:
         """Let ids start again that no outdated attempt can start."""
         limit_ms = monotonic_ms - self._limits.begin_timeout_ms
--- a/packages/daemon/src/turmericrouter_daemon/dispatch.py
+++ b/packages/daemon/src/turmericrouter_daemon/dispatch.py
@@ -33,7 +33,6 @@
 _LINK_GRACE_S = 0.25
 _PRUNE_PERIOD_S = 60.0
 _PROBE = {'probe': True}
-_LATE_START_RETRY_AFTER_S = 1.0
 
 
 class Quota(Protocol):
@@ -103,9 +102,6 @@
         self._blocklist = blocklist
         self._serving: set[asyncio.Task[Answer]] = set()
         self._rng = random.Random(runtime.rng.getrandbits(64))
-        self._begin_timeout_s = (
-            runtime.settings.operation.home_timeout_ms / 1000
-        )
         overload = runtime.settings.overload
         self._chooser = TargetChooser(
             runtime.settings.host.domain, shedding=overload.shedding
@@ -146,21 +142,12 @@
     async def _serve_operation(
         self, call: Call, gone: asyncio.Event
     ) -> Answer:
-        clock = self._runtime.clock
-        asked_at = clock.monotonic()
         begun = await self._operations.begin(call)
         if isinstance(begun, Answer):
             return begun
         if gone.is_set():
             # The caller may have sent the request again elsewhere by now.
             answer = refuse(Reason.CANCELLED)
-        elif clock.monotonic() - asked_at > self._begin_timeout_s:
-            # After a pause of this process a late start may look timely.
-            # The home relies on it that no entry uses one.
-            answer = refuse(
-                Reason.OPERATION_HOME_UNREACHABLE,
-                retry_after_s=_LATE_START_RETRY_AFTER_S,
-            )
         else:
             answer = await self._serve_admitted(call)
         await self._operations.finish(call, begun, answer)
--- a/packages/daemon/src/turmericrouter_daemon/operation_service.py
+++ b/packages/daemon/src/turmericrouter_daemon/operation_service.py
@@ -16,6 +16,7 @@
 from turmericrouter_core.messages import Hello
 from turmericrouter_core.messages import OperationStatus
 from turmericrouter_core.messages import StoredAnswer
+from turmericrouter_core.operation import answer_size
 from turmericrouter_core.operation import body_digest
 from turmericrouter_core.operation import OperationHome
 from turmericrouter_core.operation import OperationLimits
@@ -54,10 +55,6 @@
     )
 
 
-def _size(answer: Answer) -> int:
-    return len(answer.body) + sum(len(n) + len(v) for n, v in answer.headers)
-
-
 class OperationService:
     """At-most-once execution, as entry and as home.
 
@@ -101,6 +98,8 @@
             body_digest(call.method, call.path, call.body),
             self._rosters.roster(domain).epoch,
         )
+        clock = self._runtime.clock
+        asked_at = clock.monotonic()
         status = await self._ask(domain, message)
         if status is None:
             status = _unreachable()
@@ -111,7 +110,17 @@
             state=status.state,
             reason=status.reason,
         )
-        return status.nonce or _to_answer(status)
+        if not status.nonce:
+            return _to_answer(status)
+        if clock.monotonic() - asked_at <= self._timeout_s:
+            return status.nonce
+        # After a pause of this process a late start looks timely. The home
+        # relies on it that no entry uses one.
+        answer = refuse(
+            Reason.OPERATION_HOME_UNREACHABLE, retry_after_s=_RETRY_AFTER_S
+        )
+        await self.finish(call, status.nonce, answer)
+        return answer
 
     async def finish(self, call: Call, nonce: int, answer: Answer) -> None:
         """Record the end of a started operation, without waiting for it."""
@@ -129,7 +138,7 @@
                 call.workspace,
                 text,
                 nonce,
-                stored if _size(answer) <= limit else None,
+                stored if answer_size(stored) <= limit else None,
             )
         await self._conclude(call.operation, message)
 
--- a/tests/daemon/test_operation_service.py
+++ b/tests/daemon/test_operation_service.py
@@ -225,14 +225,9 @@
     asyncio.run(check())
 
 
-def _dispatcher(
-    operations: Any, quota: Any, clock: SystemClock | None = None
-) -> Dispatcher:
-    runtime: Any = mock.Mock(
-        rng=random.Random(1), clock=clock or SystemClock()
-    )
+def _dispatcher(operations: Any, quota: Any) -> Dispatcher:
+    runtime: Any = mock.Mock(rng=random.Random(1), clock=SystemClock())
     runtime.settings.overload = OverloadSettings()
-    runtime.settings.operation = OperationSettings(home_timeout_ms=TIMEOUT_MS)
     blocklist: Any = mock.Mock()
     # Otherwise every request is refused before it reaches the quota.
     blocklist.is_blocked.return_value = False
@@ -252,22 +247,25 @@
     """Guards against a start used after the home let the id start again."""
 
     async def check() -> None:
-        async def begin(call: Call) -> int:
-            # The process is paused while the reply waits in its socket.
-            clock.now_s += TIMEOUT_S + 0.001
-            return 7
+        class PausedPeers(_Peers):
+            async def request(self, *args: Any, **options: Any) -> object:
+                # The process is paused while the reply waits in its socket.
+                clock.now_s += TIMEOUT_S + 0.001
+                return await super().request(*args, **options)
 
         clock = _Clock()
-
-        operations: Any = mock.AsyncMock()
-        operations.begin = begin
+        peers = PausedPeers()
+        peers.replies = [STARTED]
         quota: Any = mock.AsyncMock()
-        dispatcher = _dispatcher(operations, quota, clock)
-        answer = await dispatcher.serve(_call())
+        dispatcher = _dispatcher(_service(peers, clock=clock), quota)
+        call = _call()
+        answer = await dispatcher.serve(call)
         assert answer.verdict is Verdict.NOT_RUN
         assert answer.reason is Reason.OPERATION_HOME_UNREACHABLE
         quota.acquire.assert_not_awaited()
-        assert operations.finish.await_args.args[1:] == (7, answer)
+        assert call.operation is not None
+        text = call.operation.text
+        assert peers.sent[-1] == AbortOperation('ward', text, 7)
 
     asyncio.run(check())
 
