Change the own directory entry in one place

Cause: the rule that a leaving or retired target stays leaving, and the next version of the own entry, stood in update and in the configuration callback; two callers repeated all fields to change the state alone. Ruled out: a change of what is announced; the callback still acts only while the target serves. Before and after: no change of behaviour. pytest tests/daemon, system test_membership, test_config and test_stop pass. Conclusion: _change_own holds the rule.

--- a/packages/daemon/src/turmericrouter_daemon/directory_sync.py
+++ b/packages/daemon/src/turmericrouter_daemon/directory_sync.py
@@ -140,45 +140,26 @@
         connections: int,
     ) -> None:
         """Change this daemon's entry and push it if it differs."""
-        # A heartbeat of the target does not take a leave back.
-        if self._is_leaving or self._config.state.is_retired(target):
-            state = MemberState.LEAVING
-        own = self._own
-        changed = msgspec.structs.replace(
-            own,
-            state=int(state),
-            service=service,
-            target=target,
-            slots=slots,
-            connections=connections,
-        )
-        if changed != own and not self._has_departed:
-            self._set_own(
-                msgspec.structs.replace(changed, version=own.version + 1)
+        self._change_own(
+            msgspec.structs.replace(
+                self._own,
+                state=int(state),
+                service=service,
+                target=target,
+                slots=slots,
+                connections=connections,
             )
+        )
 
     async def lose_target(self) -> None:
         """Tell others that the target has not announced itself of late."""
-        own = self._own
-        await self.update(
-            MemberState.JOINING,
-            service=own.service,
-            target=own.target,
-            slots=own.slots,
-            connections=own.connections,
-        )
+        joining = int(MemberState.JOINING)
+        self._change_own(msgspec.structs.replace(self._own, state=joining))
 
     async def leave(self) -> None:
         """Tell others that this daemon takes no new work."""
         self._is_leaving = True
-        own = self._own
-        await self.update(
-            MemberState.LEAVING,
-            service=own.service,
-            target=own.target,
-            slots=own.slots,
-            connections=own.connections,
-        )
+        self._change_own(self._own)
 
     def take(
         self, entries: Iterable[DirectoryEntry], *, is_news: bool = True
@@ -212,6 +193,16 @@
         )
         self._set_own(newer)
 
+    def _change_own(self, entry: DirectoryEntry) -> None:
+        """Set the own entry if it differs, with the next version."""
+        # A heartbeat of the target does not take a leave back.
+        if self._is_leaving or self._config.state.is_retired(entry.target):
+            leaving = int(MemberState.LEAVING)
+            entry = msgspec.structs.replace(entry, state=leaving)
+        if entry != self._own and not self._has_departed:
+            version = self._own.version + 1
+            self._set_own(msgspec.structs.replace(entry, version=version))
+
     def _set_own(self, entry: DirectoryEntry) -> None:
         self._own = entry
         self._directory.merge([entry])
@@ -285,14 +276,6 @@
             self._exchange.add_contact(record.entry.address)
 
     def _on_config(self, applied: Applied) -> None:
-        own = self._own
-        if own.state == MemberState.SERVING and (
-            self._config.state.is_retired(own.target)
-        ):
-            self._set_own(
-                msgspec.structs.replace(
-                    own,
-                    version=own.version + 1,
-                    state=int(MemberState.LEAVING),
-                )
-            )
+        if self._own.state == MemberState.SERVING:
+            # Leaves if the target has been retired.
+            self._change_own(self._own)
