Ask all daemons by one call of the operators library

Cause: status, quota and explain each fetched the directory, asked its members and turned missing replies into an exit status; waiting for a publication did the first two as well. Ruled out: nothing else; exit statuses and output stay. Conclusion: Members.ask_all, and one function for the exit status.

--- a/packages/operator/src/turmericrouter_operator/cli.py
+++ b/packages/operator/src/turmericrouter_operator/cli.py
@@ -5,10 +5,12 @@
 reached, or a publication was not seen in force everywhere in time.
 """
 
+from collections.abc import Sequence
 import json
 import pathlib
 import sys
 from typing import Annotated
+from typing import Any
 from typing import Literal
 
 import cyclopts
@@ -28,6 +30,7 @@
 from turmericrouter_operator.document import Document
 from turmericrouter_operator.document import parse_document
 from turmericrouter_operator.document import to_toml
+from turmericrouter_operator.members import Reply
 from turmericrouter_operator.options import ExitStatus
 from turmericrouter_operator.options import Options
 from turmericrouter_operator.publisher import find_changes
@@ -205,13 +208,16 @@
     return ExitStatus.OK
 
 
+def _reached(replies: Sequence[Reply[Any]]) -> ExitStatus:
+    if any(reply.value is None for reply in replies):
+        return ExitStatus.UNREACHABLE
+    return ExitStatus.OK
+
+
 @app.command
 async def status(*, options: Options = _DEFAULTS) -> int:
     """Show the state of every daemon."""
-    members = options.members()
-    replies = await members.ask(
-        await members.directory(), lambda client: client.status()
-    )
+    replies = await options.members().ask_all(lambda client: client.status())
     columns = (
         'address',
         'domain',
@@ -242,9 +248,7 @@
             row = {name: getattr(reply.value, name) for name in columns}
             rows.append({**row, 'incarnation': reply.value.incarnation})
     print(format_rows(rows, columns, as_json=options.as_json))
-    if any(reply.value is None for reply in replies):
-        return ExitStatus.UNREACHABLE
-    return ExitStatus.OK
+    return _reached(replies)
 
 
 @app.command
@@ -257,10 +261,7 @@
         workspace: Only this workspace.
         options: Shared options.
     """
-    members = options.members()
-    replies = await members.ask(
-        await members.directory(), lambda client: client.quota()
-    )
+    replies = await options.members().ask_all(lambda client: client.quota())
     columns = (
         'workspace',
         'rate_per_s',
@@ -280,9 +281,7 @@
         if workspace in (None, row.workspace)
     ]
     print(format_rows(rows, ('address', *columns), as_json=options.as_json))
-    if any(reply.value is None for reply in replies):
-        return ExitStatus.UNREACHABLE
-    return ExitStatus.OK
+    return _reached(replies)
 
 
 @app.command
@@ -293,9 +292,8 @@
         request_id: Value of `Turmeric-Request-Id` in the answer.
         options: Shared options.
     """
-    members = options.members()
-    replies = await members.ask(
-        await members.directory(), lambda client: client.explain(request_id)
+    replies = await options.members().ask_all(
+        lambda client: client.explain(request_id)
     )
     rows = [
         _decision_row(reply.member.address, decision)
@@ -310,9 +308,7 @@
     )
     if rows:
         return ExitStatus.OK
-    if any(reply.value is None for reply in replies):
-        return ExitStatus.UNREACHABLE
-    return ExitStatus.REFUSED
+    return _reached(replies) or ExitStatus.REFUSED
 
 
 def _decision_row(address: str, decision: DecisionRow) -> dict[str, object]:
--- a/packages/operator/src/turmericrouter_operator/members.py
+++ b/packages/operator/src/turmericrouter_operator/members.py
@@ -117,6 +117,16 @@
             *(self._ask_one(member, question) for member in members)
         )
 
+    async def ask_all(
+        self, question: Callable[[AdminClient], Awaitable[_T]]
+    ) -> list[Reply[_T]]:
+        """Ask all daemons that the seeds know.
+
+        Raises:
+            AdminError: No seed can be reached.
+        """
+        return await self.ask(await self.directory(), question)
+
     async def wait_in_force(
         self, offset: int, *, domains: Sequence[str], timeout_s: float
     ) -> list[DomainProgress]:
@@ -133,8 +143,7 @@
         """
         deadline = time.monotonic() + timeout_s
         while True:
-            members = await self.directory()
-            replies = await self.ask(members, _config_offset)
+            replies = await self.ask_all(_config_offset)
             progress = summarise(replies, offset, domains)
             if progress and all(domain.is_complete for domain in progress):
                 return progress
