Remove the reporter of crashes that nothing used

Cause: the gate took no reporter as a default; the application and the tests always give one, so the stand-in for none was never made. Ruled out: keeping it for tests; they have their own. Before and after: no change of behaviour. pytest tests/daemon passes. Conclusion: the reporter is a required argument of the gate.

--- a/packages/daemon/src/turmericrouter_daemon/crash_reporter.py
+++ b/packages/daemon/src/turmericrouter_daemon/crash_reporter.py
@@ -22,17 +22,3 @@
 
     def blocks(self, message: Dispatch) -> bool:
         """Return whether a request has crashed targets too often."""
-
-
-class NoCrashReporter:
-    """Drops everything; used without a quarantine."""
-
-    def crashed(self, messages: Sequence[Dispatch], crash_id: str) -> None:
-        """Drop a crash."""
-
-    def succeeded(self, message: Dispatch) -> None:
-        """Drop a success."""
-
-    def blocks(self, message: Dispatch) -> bool:
-        """Return false: nothing is recorded."""
-        return False
--- a/packages/daemon/src/turmericrouter_daemon/gate.py
+++ b/packages/daemon/src/turmericrouter_daemon/gate.py
@@ -23,7 +23,6 @@
 from turmericrouter_core.verdict import Verdict
 from turmericrouter_daemon.config_sync import ConfigSync
 from turmericrouter_daemon.crash_reporter import CrashReporter
-from turmericrouter_daemon.crash_reporter import NoCrashReporter
 from turmericrouter_daemon.delivery import CONTEXT_HEADER as CONTEXT_HEADER
 from turmericrouter_daemon.delivery import Delivered
 from turmericrouter_daemon.delivery import Delivery
@@ -43,14 +42,14 @@
     Args:
         runtime: Services of the process.
         config: Configuration in force.
-        crashes: Is told of crashes and successes.
+        crashes: Is told of crashes and successes and names who may not run.
     """
 
     def __init__(
         self,
         runtime: Runtime,
         config: ConfigSync,
-        crashes: CrashReporter | None = None,
+        crashes: CrashReporter,
     ) -> None:
         self._runtime = runtime
         self._clock = runtime.clock
@@ -74,7 +73,7 @@
             runtime, lambda: self._drop_waiting(Reason.TARGET_UNREACHABLE)
         )
         self._target.on_state(self._on_target_state)
-        self._crashes = crashes or NoCrashReporter()
+        self._crashes = crashes
         self._delivery = Delivery(
             runtime,
             config,
