--- a/tests/core/test_balancing.py
+++ b/tests/core/test_balancing.py
@@ -210,6 +210,24 @@
 )
 
 
+def _choose(
+    chooser: TargetChooser,
+    entries: list[DirectoryEntry],
+    rng: random.Random,
+    *,
+    now: float = 0.0,
+    importance: Importance = Importance.NORMAL,
+) -> balancing.Choice:
+    return chooser.choose(
+        entries,
+        importance=importance,
+        bucket=0,
+        regions={},
+        now=now,
+        rng=rng,
+    )
+
+
 def test_slow_and_small_targets_get_their_share() -> None:
     # Guards against a choice that is blind to speed or size: a target
     # with half the slots or twice the latency gets less.
@@ -232,14 +250,7 @@
                     status=200,
                     latency_s=latency_s,
                 )
-            choice = chooser.choose(
-                entries,
-                importance=Importance.NORMAL,
-                bucket=0,
-                regions={},
-                now=now,
-                rng=rng,
-            )
+            choice = _choose(chooser, entries, rng, now=now)
             assert choice.entry is not None
             name = choice.entry.target
             counts[name] += 1
@@ -249,14 +260,7 @@
 
 def test_idle_targets_are_forgotten() -> None:
     chooser = TargetChooser('north')
-    chooser.choose(
-        ENTRIES[:1],
-        importance=Importance.LOW,
-        bucket=0,
-        regions={},
-        now=0.0,
-        rng=random.Random(1),
-    )
+    _choose(chooser, ENTRIES[:1], random.Random(1), importance=Importance.LOW)
     chooser.prune(balancing.IDLE_FORGET_S * 2)
     assert len(chooser) == 1
     chooser.finish(
@@ -272,13 +276,8 @@
     rng = random.Random(5)
 
     def choose(now: float) -> str:
-        choice = chooser.choose(
-            ENTRIES[:2],
-            importance=Importance.HIGH,
-            bucket=0,
-            regions={},
-            now=now,
-            rng=rng,
+        choice = _choose(
+            chooser, ENTRIES[:2], rng, now=now, importance=Importance.HIGH
         )
         assert choice.entry is not None
         return choice.entry.address
@@ -328,14 +327,7 @@
     used: dict[str, list[float]] = {address: [] for address in first_s}
     for step in range(600):
         now = step / 20
-        choice = chooser.choose(
-            ENTRIES[:2],
-            importance=Importance.NORMAL,
-            bucket=0,
-            regions={},
-            now=now,
-            rng=rng,
-        )
+        choice = _choose(chooser, ENTRIES[:2], rng, now=now)
         assert choice.entry is not None
         address = choice.entry.address
         is_first = not used[address]
@@ -359,13 +351,8 @@
     chooser = TargetChooser('north')
 
     def choose(importance: Importance) -> Reason:
-        return chooser.choose(
-            ENTRIES[:1],
-            importance=importance,
-            bucket=0,
-            regions={},
-            now=0.0,
-            rng=random.Random(1),
+        return _choose(
+            chooser, ENTRIES[:1], random.Random(1), importance=importance
         ).reason
 
     for _ in range(SLOTS * balancing.OVERFLOW_FACTOR):
