Tell callers when to come back after a deadline that expired

Before and after: the new test in tests/daemon/test_entry.py fails before and passes after. pytest tests/daemon tests/core pass; system test_overload passed three times in a row. Conclusion: 504 counts as a refusal from overload and grows the back-off.

--- a/packages/daemon/src/turmericrouter_daemon/entry.py
+++ b/packages/daemon/src/turmericrouter_daemon/entry.py
@@ -39,7 +39,8 @@
     Importance.NORMAL: 0.9,
     Importance.LOW: 0.8,
 }
-_BACKOFF_STATUSES = frozenset({429, 503})
+# A deadline that expires before the start is a sign of overload as well.
+_BACKOFF_STATUSES = frozenset({429, 503, 504})
 # Whatever an id in such a request says, no attempt with it can have run.
 _NEVER_RAN_REASONS = frozenset(
     {
--- a/tests/daemon/test_entry.py
+++ b/tests/daemon/test_entry.py
@@ -15,6 +15,7 @@
 from turmericrouter_core.verdict import Verdict
 from turmericrouter_daemon.call import Answer
 from turmericrouter_daemon.call import Call
+from turmericrouter_daemon.call import refuse
 from turmericrouter_daemon.entry import Entry
 from turmericrouter_daemon.settings import HostSettings
 from turmericrouter_daemon.settings import PlatformSettings
@@ -42,6 +43,8 @@
         if call.path == '/works/hold':
             self.started.set()
             await self.opened.wait()
+        if call.path == '/works/late':
+            return refuse(Reason.DEADLINE_EXPIRED)
         return SERVED
 
 
@@ -53,6 +56,7 @@
     ) -> None:
         self.reader = reader
         self.writer = writer
+        self.headers: dict[str, str] = {}
 
     def send(self, path: str, headers: str = '') -> None:
         head = f'GET {path} HTTP/1.1\r\nHost: x\r\n{headers}\r\n'
@@ -62,7 +66,7 @@
         """Return status, verdict, reason and body."""
         head = await self.reader.readuntil(b'\r\n\r\n')
         first, *lines = head.decode().strip().split('\r\n')
-        headers = {
+        self.headers = headers = {
             name.lower(): value
             for name, _, value in (line.partition(': ') for line in lines)
         }
@@ -133,6 +137,20 @@
     _run(check)
 
 
+def test_request_that_expires_in_a_queue_says_when_to_come_back() -> None:
+    """Guards against callers that resend at once to an overloaded target."""
+
+    async def check(
+        entry: Entry, dispatcher: _Dispatcher, caller: _Connection, log: Any
+    ) -> None:
+        caller.send('/works/late')
+        refused = await caller.receive()
+        assert refused[:3] == (504, 'not-run', 'deadline-expired')
+        assert int(caller.headers['retry-after']) >= 1
+
+    _run(check)
+
+
 def test_stopping_daemon_refuses_and_closes_the_connection() -> None:
     """Guards against callers that stay connected to a daemon that ends."""
 
