--- /dev/null
+++ b/packages/dataplane/src/turmericrouter_dataplane/application.py
@@ -0,0 +1,425 @@
+"""The daemon of the request path: builds its parts, starts and stops them."""
+
+import asyncio
+import dataclasses
+import os
+import random
+import signal
+import time
+from typing import Protocol
+
+from turmericrouter_core.errors import LogServiceError
+
+from turmericrouter_dataplane.announcements import Announcements
+from turmericrouter_dataplane.announcements import Departure
+from turmericrouter_dataplane.config_feed import ConfigDecoder
+from turmericrouter_dataplane.config_feed import ConfigFeed
+from turmericrouter_dataplane.decision_log import DecisionLog
+from turmericrouter_dataplane.decision_log import STDOUT_FD
+from turmericrouter_dataplane.dialect import HeaderNames
+from turmericrouter_dataplane.dispatcher import Dispatcher
+from turmericrouter_dataplane.frames import HostRecord
+from turmericrouter_dataplane.gate import Gate
+from turmericrouter_dataplane.gate import LocalTarget
+from turmericrouter_dataplane.http_server import HttpRequest
+from turmericrouter_dataplane.http_server import HttpServer
+from turmericrouter_dataplane.http_server import status_line
+from turmericrouter_dataplane.links import LinkServer
+from turmericrouter_dataplane.log_service import LogService
+from turmericrouter_dataplane.members import HostDirectory
+from turmericrouter_dataplane.members import Members
+from turmericrouter_dataplane.members import STATUS_PERIOD_S
+from turmericrouter_dataplane.metrics import Metrics
+from turmericrouter_dataplane.model import FleetConfig
+from turmericrouter_dataplane.policy.crash_marks import CrashMarks
+from turmericrouter_dataplane.policy.retry_budget import RetryBudget
+from turmericrouter_dataplane.policy.target_chooser import TargetChooser
+from turmericrouter_dataplane.policy.target_chooser import TargetState
+from turmericrouter_dataplane.policy.workspace_quota import WorkspaceQuota
+from turmericrouter_dataplane.settings import Address
+from turmericrouter_dataplane.settings import Settings
+from turmericrouter_dataplane.timers import TimerService
+
+_LINK_CHECK_S = 0.2
+_LOG_FLUSH_S = 0.25
+_SWEEP_S = 1.0
+_DIRECTORY_PERIOD_S = 20.0
+# A first announcement comes within this time, and saves a second record.
+_FIRST_ANNOUNCEMENT_S = 1.8
+# A stopping daemon serves on for this long, since callers keep coming until
+# two readiness checks have failed.
+_LEAVE_S = 2.6
+# Time left for closing before the process is killed.
+_STOP_RESERVE_S = 0.7
+# Connections are closed this long after the time a caller may reuse them in.
+_IDLE_SLACK_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ignored:
+    """An announcement that can't be used.
+
+    Args:
+        why: What is wrong with it.
+    """
+
+    why: str
+
+
+class Deployment(Protocol):
+    """The formats and calls of the platform that the daemon runs on."""
+
+    headers: HeaderNames
+    ready_path: bytes
+
+    def load_settings(self) -> Settings:
+        """Read the settings.
+
+        Raises:
+            SettingsError: They can't be used.
+        """
+
+    def decode_config(self, document: bytes) -> FleetConfig:
+        """Read a published configuration.
+
+        Raises:
+            ConfigError: It can't be used.
+        """
+
+    def decode_announcement(
+        self, request: HttpRequest
+    ) -> LocalTarget | Departure | Ignored:
+        """Read what a target says of itself."""
+
+    def log_service(self, address: Address) -> LogService:
+        """Return a client of the platform's log."""
+
+
+class _ReadyHandler:
+    """Answers the readiness check and serves metrics."""
+
+    def __init__(self, application: 'Application') -> None:
+        self._application = application
+
+    def handle(self, request: HttpRequest) -> None:
+        application = self._application
+        if request.target.startswith(b'/metrics'):
+            status, body = 200, application.render_metrics()
+        else:
+            status = 200 if application.is_ready else 503
+            body = b''
+        request.connection.respond(request, status_line(status), body)
+
+    def abandon(self, request: HttpRequest) -> None:
+        """Do nothing; answers are made at once."""
+
+
+class _ControlHandler:
+    """Takes announcements of the local target."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        announcements: Announcements,
+        log: DecisionLog,
+    ) -> None:
+        self._deployment = deployment
+        self._announcements = announcements
+        self._log = log
+
+    def handle(self, request: HttpRequest) -> None:
+        message = self._deployment.decode_announcement(request)
+        status = 200
+        if isinstance(message, LocalTarget):
+            self._announcements.announce(message)
+        elif isinstance(message, Departure):
+            self._announcements.depart(message)
+        else:
+            status = 400
+            self._log.decision('announcement_ignored', why=message.why)
+        head = status_line(status) + b'Content-Type: application/json\r\n'
+        request.connection.respond(request, head, b'{}')
+
+    def abandon(self, request: HttpRequest) -> None:
+        """Do nothing; answers are made at once."""
+
+
+class Application:
+    """Owns all parts of the daemon.
+
+    Args:
+        deployment: Formats and calls of the platform.
+    """
+
+    def __init__(self, deployment: Deployment) -> None:
+        self._deployment = deployment
+        settings = deployment.load_settings()
+        self._settings = settings
+        self._rng = random.Random()
+        self._log = DecisionLog(settings.host)
+        self._timers = TimerService(self._timer_failed)
+        self._metrics = Metrics()
+        self._chooser = TargetChooser(
+            settings.host, settings.domain, self._rng
+        )
+        self._quota = WorkspaceQuota()
+        self._budget = RetryBudget(
+            ratio=settings.retry_ratio,
+            window_s=settings.retry_window_s,
+            slack=settings.retry_slack,
+        )
+        self._crash_marks = CrashMarks()
+        self._gate = Gate(
+            deployment.headers, self._timers, self._log, self._crashed
+        )
+        self._log_service = deployment.log_service(settings.log_service)
+        decode: ConfigDecoder = deployment.decode_config
+        self._config = ConfigFeed(
+            self._log_service, decode, self._apply, self._log, self._rng
+        )
+        self._members = self._make_members()
+        self._directory = HostDirectory(
+            self._log_service, self._members, self._log
+        )
+        self._dispatcher = self._make_dispatcher()
+        self._announcements = Announcements(self._target_changed, self._log)
+        self._callers = HttpServer(self._dispatcher, self._bad_request)
+        self._ready = HttpServer(_ReadyHandler(self))
+        self._control = HttpServer(
+            _ControlHandler(deployment, self._announcements, self._log)
+        )
+        self._links = LinkServer(self._members)
+        self._tasks: list[asyncio.Task[None]] = []
+        self._target_known = asyncio.Event()
+        self._record_changed = asyncio.Event()
+        self._stopping = asyncio.Event()
+        self._stop_reason = ''
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether callers may be sent here."""
+        return self._config.version >= 0 and not self._stopping.is_set()
+
+    async def run(self) -> None:
+        """Serve until a signal to stop."""
+        await self._start()
+        await self._stopping.wait()
+        await self._stop()
+
+    def render_metrics(self) -> bytes:
+        """Return the metrics of the process as text."""
+        return self._metrics.render(
+            {
+                'config_version': self._config.version,
+                'gate_limit': self._gate.limit,
+                'gate_running': self._gate.running,
+                'gate_waiting': self._gate.waiting,
+                'hosts': self._members.peers + 1,
+                'requests_in_flight': self._dispatcher.in_flight,
+                'callers_connected': len(self._callers.connections),
+            }
+        )
+
+    def _make_members(self) -> Members:
+        settings = self._settings
+        record = HostRecord(
+            settings.host,
+            str(settings.peers),
+            settings.domain,
+            settings.service,
+        )
+        return Members(
+            record,
+            gate=self._gate,
+            chooser=self._chooser,
+            quota=self._quota,
+            budget=self._budget,
+            crash_marks=self._crash_marks,
+            config=self._config,
+            log=self._log,
+        )
+
+    def _make_dispatcher(self) -> Dispatcher:
+        settings = self._settings
+        return Dispatcher(
+            host=settings.host,
+            service=settings.service,
+            headers=self._deployment.headers,
+            gate=self._gate,
+            link_of=self._members.link_of,
+            chooser=self._chooser,
+            quota=self._quota,
+            budget=self._budget,
+            crash_marks=self._crash_marks,
+            timers=self._timers,
+            log=self._log,
+            metrics=self._metrics,
+            rng=self._rng,
+        )
+
+    async def _start(self) -> None:
+        settings = self._settings
+        os.set_blocking(STDOUT_FD, False)
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._signalled, 'SIGTERM')
+        loop.add_signal_handler(signal.SIGINT, self._signalled, 'SIGINT')
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self._links.start(settings.peers.ip, settings.peers.port)
+        await self._callers.start(settings.callers.ip, settings.callers.port)
+        await self._control.start(settings.control.ip, settings.control.port)
+        await self._ready.start(settings.ready.ip, settings.ready.port)
+        if settings.metrics != settings.ready:
+            metrics = HttpServer(_ReadyHandler(self))
+            await metrics.start(settings.metrics.ip, settings.metrics.port)
+        self._subscribe()
+        self._tasks = [
+            asyncio.create_task(self._config.run()),
+            asyncio.create_task(self._keep_directory()),
+        ]
+        self._log.event(
+            'started',
+            pid=os.getpid(),
+            domain=settings.domain,
+            service=settings.service,
+            startup_cpu_s=round(time.process_time(), 3),
+        )
+
+    def _subscribe(self) -> None:
+        every = self._timers.every
+        every(STATUS_PERIOD_S, self._members.publish, name='publish')
+        every(_LINK_CHECK_S, self._members.check_links, name='links')
+        every(_LOG_FLUSH_S, self._log.flush, name='log')
+        every(_SWEEP_S, self._sweep, name='sweep')
+
+    async def _stop(self) -> None:
+        started_at = self._timers.now()
+        self._log.event(
+            'stopping',
+            signal=self._stop_reason,
+            in_flight=self._dispatcher.in_flight,
+        )
+        self._callers.is_leaving = True
+        self._members.is_leaving = True
+        self._members.broadcast()
+        last = started_at + self._settings.stop_within_s - _STOP_RESERVE_S
+        while (now := self._timers.now()) < last:
+            is_idle = not self._dispatcher.in_flight and self._gate.is_idle
+            if is_idle and now - started_at > _LEAVE_S:
+                break
+            await asyncio.sleep(0.05)
+        self._callers.stop_listening()
+        self._callers.close_idle(0.0)
+        for task in self._tasks:
+            task.cancel()
+        self._log.event(
+            'stopped',
+            after_s=round(self._timers.now() - started_at, 2),
+            in_flight=self._dispatcher.in_flight,
+        )
+        self._links.stop()
+        self._members.stop()
+        await asyncio.sleep(0.02)
+        self._gate.stop()
+        self._timers.stop()
+        self._log.flush()
+
+    async def _keep_directory(self) -> None:
+        """Read the other hosts' records and keep the own one up to date."""
+        while True:
+            try:
+                await self._directory.load(self._presume)
+                break
+            except LogServiceError as error:
+                self._log.event('hosts_not_loaded', error=str(error))
+                await asyncio.sleep(0.3 + 0.4 * self._rng.random())
+        try:
+            async with asyncio.timeout(_FIRST_ANNOUNCEMENT_S):
+                await self._target_known.wait()
+        except TimeoutError:
+            self._log.event('target_not_announced')
+        load_at = 0.0
+        while True:
+            self._record_changed.clear()
+            is_stored = await self._directory.store()
+            now = self._timers.now()
+            if not load_at:
+                # A host that started at the same time may have been missed.
+                load_at = now + 1.0
+            wait_s = max(0.1, load_at - now) if is_stored else 0.5
+            try:
+                async with asyncio.timeout(wait_s):
+                    await self._record_changed.wait()
+            except TimeoutError:
+                if is_stored:
+                    load_at = await self._load_again()
+
+    async def _load_again(self) -> float:
+        try:
+            await self._directory.load()
+        except LogServiceError as error:
+            self._log.event('hosts_not_loaded', error=str(error))
+        spread = 0.8 + 0.4 * self._rng.random()
+        return self._timers.now() + _DIRECTORY_PERIOD_S * spread
+
+    def _presume(self, record: HostRecord) -> None:
+        """Serve by what this host said of its target before a restart."""
+        if not record.target_id or not record.target_address:
+            return
+        self._announcements.presume(
+            LocalTarget(
+                record.target_id,
+                record.service,
+                Address.parse(record.target_address),
+                record.slots,
+                TargetState(record.state),
+                record.born,
+            )
+        )
+
+    def _target_changed(self, target: LocalTarget) -> None:
+        self._gate.set_target(target)
+        self._members.change_own(
+            _with_target(self._members.record, target)
+        )
+        self._target_known.set()
+        self._record_changed.set()
+
+    def _apply(self, config: FleetConfig) -> None:
+        self._dispatcher.set_config(config)
+        self._callers.limits = config.limits
+
+    def _crashed(self, digest: int, target_id: str) -> None:
+        self._members.report_crash(digest, target_id)
+
+    def _bad_request(self, status: int) -> None:
+        self._metrics.refuse('', f'malformed-{status}')
+        self._log.decision('request_malformed', status=status)
+
+    def _sweep(self) -> None:
+        idle_s = self._callers.limits.idle_timeout_s + _IDLE_SLACK_S
+        self._callers.close_idle(idle_s)
+        self._gate.prune()
+
+    def _signalled(self, name: str) -> None:
+        self._stop_reason = name
+        self._stopping.set()
+
+    def _reload(self) -> None:
+        self._log.event('reload', signal='SIGHUP')
+
+    def _timer_failed(self, name: str, error: Exception) -> None:
+        self._log.event('timer_failed', timer=name, error=repr(error))
+
+
+def _with_target(record: HostRecord, target: LocalTarget) -> HostRecord:
+    return HostRecord(
+        record.name,
+        record.address,
+        record.domain,
+        target.service,
+        target.target_id,
+        target.slots,
+        int(target.state),
+        target.born,
+        str(target.address),
+    )
--- /dev/null
+++ b/packages/dataplane/src/turmericrouter_dataplane/config_feed.py
@@ -0,0 +1,128 @@
+"""Keeps the newest configuration, from the log or from peers."""
+
+import asyncio
+from collections.abc import Callable
+import random
+import time
+
+from turmericrouter_core.errors import ConfigError
+from turmericrouter_core.errors import LogServiceError
+
+from turmericrouter_dataplane.decision_log import DecisionLog
+from turmericrouter_dataplane.log_service import HistoryLostError
+from turmericrouter_dataplane.log_service import LogService
+from turmericrouter_dataplane.log_service import Page
+from turmericrouter_dataplane.log_service import Stream
+from turmericrouter_dataplane.model import FleetConfig
+
+# One read waits this long for a change.
+LONG_POLL_S = 8.0
+_FIRST_PAUSE_S = 0.1
+_LONGEST_PAUSE_S = 1.0
+CONFIG_KEY = 'config'
+
+ConfigDecoder = Callable[[bytes], FleetConfig]
+
+
+class ConfigFeed:
+    """Follows the configuration stream; versions never go back.
+
+    Args:
+        log_service: The platform's log.
+        decode: Reads a published document; raises `ConfigError`.
+        apply: Puts a configuration in force.
+        log: Decision log.
+        rng: Source of jitter.
+    """
+
+    def __init__(
+        self,
+        log_service: LogService,
+        decode: ConfigDecoder,
+        apply: Callable[[FleetConfig], None],
+        log: DecisionLog,
+        rng: random.Random,
+    ) -> None:
+        self._log_service = log_service
+        self._decode = decode
+        self._apply = apply
+        self._log = log
+        self._rng = rng
+        self._is_connected = True
+        self._refused = b''
+        self.version = -1
+        self.document = b''
+        self.applied_at = 0.0
+
+    async def run(self) -> None:
+        """Follow the stream until the task is cancelled."""
+        pause_s = _FIRST_PAUSE_S
+        start: int | None = None
+        while True:
+            try:
+                if start is None:
+                    page = await self._log_service.newest(Stream.CONFIGURATION)
+                else:
+                    page = await self._log_service.read(
+                        Stream.CONFIGURATION, start, LONG_POLL_S
+                    )
+            except HistoryLostError:
+                start = None
+                continue
+            except LogServiceError as error:
+                self._lost(error)
+                await asyncio.sleep(pause_s * (0.5 + self._rng.random()))
+                pause_s = min(_LONGEST_PAUSE_S, pause_s * 2)
+                # Records may have been dropped unseen meanwhile.
+                start = None
+                continue
+            pause_s = _FIRST_PAUSE_S
+            self._regained()
+            start = page.end
+            self._take(page)
+
+    def offer(self, document: bytes, source: str) -> None:
+        """Take in a document; older and unusable ones are kept out."""
+        try:
+            config = self._decode(document)
+        except ConfigError as error:
+            if document != self._refused:
+                self._refused = document
+                self._log.event(
+                    'config_refused',
+                    source=source,
+                    error=str(error),
+                    version=self.version,
+                )
+            return
+        if config.version <= self.version:
+            return
+        before, self.version = self.version, config.version
+        self.document = document
+        self.applied_at = time.monotonic()
+        self._apply(config)
+        self._log.event(
+            'config_applied',
+            version=config.version,
+            before=before,
+            source=source,
+            routes=len(config.routes),
+            workspaces=len(config.workspaces),
+        )
+
+    def _take(self, page: Page) -> None:
+        for record in page.records:
+            if record.key == CONFIG_KEY and record.value:
+                self.offer(record.value, 'log')
+
+    def _lost(self, error: LogServiceError) -> None:
+        if self._is_connected:
+            self._is_connected = False
+            self._log.event(
+                'log_service_lost', error=str(error), version=self.version
+            )
+
+    def _regained(self) -> None:
+        if not self._is_connected:
+            self._is_connected = True
+            self._log.event('log_service_regained', version=self.version)
--- /dev/null
+++ b/packages/dataplane/src/turmericrouter_dataplane/dispatcher.py
@@ -0,0 +1,508 @@
+"""Takes each request of a caller from admission to its answer."""
+
+from collections.abc import Callable
+import random
+
+from turmericrouter_core.verdict import Reason
+from turmericrouter_core.verdict import Verdict
+import xxhash
+
+from turmericrouter_dataplane.call import Call
+from turmericrouter_dataplane.decision_log import DecisionLog
+from turmericrouter_dataplane.decision_log import REFUSAL_LINES_PER_S
+from turmericrouter_dataplane.decision_log import ROUTINE_LINES_PER_S
+from turmericrouter_dataplane.dialect import HeaderNames
+from turmericrouter_dataplane.frames import Dispatch
+from turmericrouter_dataplane.frames import Outcome
+from turmericrouter_dataplane.gate import Gate
+from turmericrouter_dataplane.http_server import HttpRequest
+from turmericrouter_dataplane.http_server import status_line
+from turmericrouter_dataplane.links import Link
+from turmericrouter_dataplane.metrics import Metrics
+from turmericrouter_dataplane.model import FleetConfig
+from turmericrouter_dataplane.model import Route
+from turmericrouter_dataplane.model import Workspace
+from turmericrouter_dataplane.policy.crash_marks import CrashMarks
+from turmericrouter_dataplane.policy.gate_queue import RANKS
+from turmericrouter_dataplane.policy.retry_budget import RetryBudget
+from turmericrouter_dataplane.policy.route_table import RouteTable
+from turmericrouter_dataplane.policy.target_chooser import TargetChooser
+from turmericrouter_dataplane.policy.workspace_quota import WorkspaceQuota
+from turmericrouter_dataplane.timers import TimerService
+
+# The answer of a target at its deadline is waited for this long.
+_ANSWER_GRACE_S = 0.06
+# A request of a caller waits for a slot at most for this part of its
+# objective, one of a running request for longer: its refusal wastes the work
+# of the whole chain.
+_PATIENCE_SHARE = 0.125
+_NESTED_PATIENCE_SHARE = 0.5
+_LONGEST_PATIENCE_S = 0.4
+# Hosts that are asked for one request while none of them sent it on.
+_MOST_HOSTS = 4
+# Callers that are refused together come back over this span, in seconds.
+_FIRST_RETURN_S = 0.25
+_RETURN_SPAN_S = 0.75
+_LEVELS = 4
+_HOP_HEADERS = frozenset(
+    {
+        b'connection',
+        b'keep-alive',
+        b'proxy-connection',
+        b'proxy-authorization',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'content-length',
+        b'upgrade',
+        b'expect',
+        b'authorization',
+    }
+)
+_AUTHORIZATION = b'authorization'
+_BEARER = b'bearer '
+_STATUS_OF_REASON = {
+    Reason.MALFORMED: 400,
+    Reason.KEY_MISSING: 401,
+    Reason.KEY_UNKNOWN: 401,
+    Reason.ROUTE_UNKNOWN: 404,
+    Reason.QUOTA_EXCEEDED: 429,
+}
+
+LinkLookup = Callable[[str], Link | None]
+
+
+class Dispatcher:
+    """Serves callers of this host.
+
+    Args:
+        host: Name of this host.
+        service: Service of this host's target.
+        headers: Header names of the deployment.
+        gate: Gate of the local target.
+        link_of: Returns the open link to a host.
+        chooser: Chooses targets.
+        quota: Allowances of workspaces.
+        budget: Bounds repeats.
+        crash_marks: Requests that crash targets.
+        timers: Timer service.
+        log: Decision log.
+        metrics: Counters.
+        rng: Source of jitter.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        service: str,
+        headers: HeaderNames,
+        gate: Gate,
+        link_of: LinkLookup,
+        chooser: TargetChooser,
+        quota: WorkspaceQuota,
+        budget: RetryBudget,
+        crash_marks: CrashMarks,
+        timers: TimerService,
+        log: DecisionLog,
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._host = host
+        self._gate = gate
+        self._link_of = link_of
+        self._chooser = chooser
+        self._quota = quota
+        self._budget = budget
+        self._crash_marks = crash_marks
+        self._timers = timers
+        self._log = log
+        self._metrics = metrics
+        self._rng = rng
+        self._names = headers
+        self._id_name = headers.request_id.lower()
+        self._deadline_name = headers.deadline_ms.lower()
+        self._own_headers = _HOP_HEADERS | {
+            headers.deadline_ms.lower(),
+            headers.target_id.lower(),
+            headers.workspace.lower(),
+            headers.caller_service.lower(),
+        }
+        self._caller_line = b'%b: %b\r\n' % (
+            headers.caller_service,
+            service.encode(),
+        )
+        self._table: RouteTable | None = None
+        self.in_flight = 0
+
+    @property
+    def table(self) -> RouteTable | None:
+        """Return the routes in force."""
+        return self._table
+
+    def set_config(self, config: FleetConfig) -> None:
+        """Put a configuration in force."""
+        self._table = RouteTable(config, self._table)
+        self._quota.configure(config.workspaces, self._timers.now())
+
+    def handle(self, request: HttpRequest) -> None:
+        """Start to serve a request."""
+        table = self._table
+        if table is None:
+            self._refuse_early(request, Reason.CONFIG_STALE)
+            return
+        hostname = request_id = authorization = deadline = b''
+        for lower, _, value in request.headers:
+            if lower == b'host':
+                hostname = value
+            elif lower == self._id_name:
+                request_id = value
+            elif lower == _AUTHORIZATION:
+                authorization = value
+            elif lower == self._deadline_name:
+                deadline = value
+        route = table.find(hostname, request.target)
+        if route is None:
+            self._refuse_early(request, Reason.ROUTE_UNKNOWN, request_id)
+            return
+        workspace = self._workspace(table, authorization)
+        if workspace is None and table.has_workspaces and not route.is_open:
+            reason = (
+                Reason.KEY_UNKNOWN if authorization else Reason.KEY_MISSING
+            )
+            self._refuse_early(request, reason, request_id)
+            return
+        now = self._timers.now()
+        if workspace is not None:
+            wait_s = self._quota.admit(workspace.name, now)
+            if wait_s:
+                self._refuse_early(
+                    request, Reason.QUOTA_EXCEEDED, request_id, wait_s
+                )
+                return
+        call = self._make_call(
+            request, route, workspace, request_id, deadline, now
+        )
+        if self._crash_marks.is_blocked(call.digest, now):
+            self._refuse_early(request, Reason.QUARANTINED, request_id)
+            return
+        call.service = table.pick_service(route)
+        self._begin(call)
+
+    def abandon(self, request: HttpRequest) -> None:
+        """Stop a request whose caller has gone, unless it must not stop."""
+        call = request.context
+        if not isinstance(call, Call) or call.is_done:
+            return
+        self._metrics.count('requests_abandoned')
+        self._give_up(call)
+        self._close(call)
+
+    def _workspace(
+        self, table: RouteTable, authorization: bytes
+    ) -> Workspace | None:
+        if authorization[:7].lower() != _BEARER:
+            return None
+        return table.workspace_of(authorization[7:].strip())
+
+    def _make_call(
+        self,
+        request: HttpRequest,
+        route: Route,
+        workspace: Workspace | None,
+        request_id: bytes,
+        deadline: bytes,
+        now: float,
+    ) -> Call:
+        left_s = route.timeout_s
+        if deadline.isdigit():
+            left_s = min(left_s, int(deadline) / 1000)
+        call = Call(
+            request,
+            route,
+            workspace=workspace.name if workspace else '',
+            request_id=request_id,
+            arrived_at=now,
+            expires_at=now + left_s,
+        )
+        request.context = call
+        call.is_nested = workspace is None
+        if workspace is not None:
+            level = min(workspace.priority, _LEVELS - 1) * _LEVELS
+            level += min(route.priority, _LEVELS - 1)
+            call.rank = min(1 + level, RANKS - 1)
+        call.head = self._head(call)
+        digest = xxhash.xxh3_64_intdigest(
+            request.method + request.target + request.body
+        )
+        call.digest = digest & 0x7FFFFFFFFFFFFFFF
+        return call
+
+    def _head(self, call: Call) -> bytes:
+        request = call.request
+        lines = [b'%b %b HTTP/1.1\r\n' % (request.method, request.target)]
+        skipped = self._own_headers
+        named: tuple[bytes, ...] = ()
+        for lower, name, value in request.headers:
+            if lower not in skipped:
+                lines.append(b'%b: %b\r\n' % (name, value))
+            elif lower == b'connection' and value:
+                named += tuple(
+                    part.strip().lower() for part in value.split(b',')
+                )
+        if len(named) > 1 or (named and named[0] not in _HOP_TOKENS):
+            lines = [lines[0]] + [
+                line
+                for line in lines[1:]
+                if line.partition(b':')[0].lower() not in named
+            ]
+        lines.append(self._caller_line)
+        if call.workspace:
+            lines.append(
+                b'%b: %b\r\n' % (self._names.workspace, call.workspace.encode())
+            )
+        if request.has_body:
+            lines.append(b'Content-Length: %d\r\n' % len(request.body))
+        return b''.join(lines)
+
+    def _begin(self, call: Call) -> None:
+        self.in_flight += 1
+        self._budget.first_attempt(call.service)
+        call.deadline = self._timers.at(
+            call.expires_at + _ANSWER_GRACE_S, lambda: self._expire(call)
+        )
+        self._attempt(call)
+
+    def _attempt(self, call: Call) -> None:
+        now = self._timers.now()
+        choice = self._chooser.choose(
+            call.service,
+            now=now,
+            is_vital=call.is_nested or call.route.priority == 0,
+            tried=call.tried,
+        )
+        if choice.host is None:
+            reason = call.last_reason if call.tried else choice.reason
+            self._refuse(call, reason)
+            return
+        call.host = choice.host
+        call.attempt += 1
+        attempt = call.attempt
+
+        def reply(outcome: Outcome) -> None:
+            self._on_outcome(call, attempt, outcome)
+
+        view = self._chooser.views[choice.host]
+        target_id = view.record.target_id
+        if choice.host == self._host:
+            call.link = None
+            job = self._gate.submit(self._frame(call, 0, target_id), reply)
+            if call.attempt == attempt and not call.is_done:
+                call.job = job
+            return
+        link = self._link_of(choice.host)
+        if link is None:
+            reply(Outcome(0, Verdict.NOT_RUN, Reason.LINK_NOT_SENT))
+            return
+        call.job = None
+        call.link = link
+        call.correlation = link.next_correlation()
+        link.dispatch(self._frame(call, call.correlation, target_id), reply)
+
+    def _frame(
+        self, call: Call, correlation: int, target_id: str
+    ) -> Dispatch:
+        route = call.route
+        share = _NESTED_PATIENCE_SHARE if call.is_nested else _PATIENCE_SHARE
+        now = self._timers.now()
+        patience_s = min(_LONGEST_PATIENCE_S, route.objective_s * share)
+        patience_s -= now - call.arrived_at
+        return Dispatch(
+            correlation,
+            target_id,
+            call.rank,
+            route.is_idempotent,
+            max(1, int((call.expires_at - now) * 1000)),
+            max(0, int(patience_s * 1000)),
+            call.head,
+            call.request.body,
+            call.request_id,
+            call.digest,
+        )
+
+    def _on_outcome(self, call: Call, attempt: int, outcome: Outcome) -> None:
+        if call.attempt != attempt or call.is_done:
+            return
+        now = self._timers.now()
+        view = self._chooser.views.get(call.host)
+        if view is not None and outcome.limit:
+            view.running = outcome.running
+            view.waiting = outcome.waiting
+            view.limit = outcome.limit
+            view.reported_at = now
+        self._chooser.finish(call.host, outcome.reason, now)
+        if outcome.verdict is Verdict.RAN:
+            self._answer(call, outcome, now)
+            return
+        call.last_reason = outcome.reason
+        call.sends += outcome.was_sent
+        if outcome.verdict is Verdict.MAY_HAVE_RUN:
+            call.may_have_run = True
+        if self._log.may_write('request_attempt_failed', REFUSAL_LINES_PER_S):
+            self._log.decision(
+                'request_attempt_failed',
+                request_id=call.request_id.decode('latin-1'),
+                route=call.route.name,
+                service=call.service,
+                target_host=call.host,
+                attempt=attempt,
+                verdict=outcome.verdict.value,
+                reason=outcome.reason.value,
+                running=outcome.running,
+                waiting=outcome.waiting,
+                limit=outcome.limit,
+                age_ms=int((now - call.arrived_at) * 1000),
+            )
+        if self._may_retry(call, outcome, now):
+            call.tried.add(call.host)
+            self._metrics.count('retries')
+            self._attempt(call)
+            return
+        self._refuse(call, outcome.reason)
+
+    def _may_retry(self, call: Call, outcome: Outcome, now: float) -> bool:
+        if now >= call.expires_at or not call.request.connection.is_open:
+            return False
+        if call.may_have_run and not call.route.is_idempotent:
+            return False
+        if len(call.tried) + 1 >= _MOST_HOSTS:
+            return False
+        if outcome.reason is Reason.EVICTED and not call.is_nested:
+            return False
+        reached = outcome.was_sent or outcome.verdict is not Verdict.NOT_RUN
+        if not reached:
+            return True
+        if call.sends >= call.route.max_attempts:
+            return False
+        return self._budget.take(call.service)
+
+    def _answer(self, call: Call, outcome: Outcome, now: float) -> None:
+        call.request.connection.respond(
+            call.request, outcome.head, outcome.body
+        )
+        self._metrics.serve(call.route.name, now - call.arrived_at)
+        if self._crash_marks:
+            self._crash_marks.clear(call.digest)
+        if self._log.may_write('request_served', ROUTINE_LINES_PER_S):
+            self._log.decision(
+                'request_served',
+                ROUTINE_LINES_PER_S,
+                request_id=call.request_id.decode('latin-1'),
+                route=call.route.name,
+                service=call.service,
+                target_host=call.host,
+                status=outcome.status,
+                attempts=call.attempt,
+                latency_ms=int((now - call.arrived_at) * 1000),
+            )
+        self._close(call)
+
+    def _refuse(self, call: Call, reason: Reason) -> None:
+        if call.workspace and not call.may_have_run:
+            self._quota.refund(call.workspace)
+        if not call.may_have_run:
+            status = 503
+        elif reason is Reason.DEADLINE_EXPIRED:
+            status = 504
+        else:
+            status = 502
+        self._respond(call.request, status, reason)
+        self._metrics.refuse(call.route.name, reason.value)
+        if self._log.may_write('request_refused', REFUSAL_LINES_PER_S):
+            table = self._table
+            now = self._timers.now()
+            self._log.decision(
+                'request_refused',
+                request_id=call.request_id.decode('latin-1'),
+                route=call.route.name,
+                workspace=call.workspace,
+                service=call.service,
+                target_host=call.host,
+                status=status,
+                reason=reason.value,
+                attempts=call.attempt,
+                rank=call.rank,
+                age_ms=int((now - call.arrived_at) * 1000),
+                config_version=table.version if table else -1,
+            )
+        self._close(call)
+
+    def _refuse_early(
+        self,
+        request: HttpRequest,
+        reason: Reason,
+        request_id: bytes = b'',
+        wait_s: float = 0.0,
+    ) -> None:
+        status = _STATUS_OF_REASON.get(reason, 503)
+        self._respond(request, status, reason, wait_s)
+        self._metrics.refuse('', reason.value)
+        if self._log.may_write('request_refused', REFUSAL_LINES_PER_S):
+            table = self._table
+            self._log.decision(
+                'request_refused',
+                request_id=request_id.decode('latin-1'),
+                path=request.target.decode('latin-1'),
+                status=status,
+                reason=reason.value,
+                config_version=table.version if table else -1,
+            )
+
+    def _respond(
+        self,
+        request: HttpRequest,
+        status: int,
+        reason: Reason,
+        wait_s: float = 0.0,
+    ) -> None:
+        head = status_line(status) + b'Content-Type: text/plain\r\n'
+        if status in (429, 503):
+            wait_s = max(wait_s, _FIRST_RETURN_S)
+            wait_s += self._rng.random() * _RETURN_SPAN_S
+            head += b'Retry-After: %.2f\r\n' % wait_s
+        request.connection.respond(request, head, reason.value.encode())
+
+    def _expire(self, call: Call) -> None:
+        if call.is_done:
+            return
+        if call.link is not None or (call.job and call.job.has_started):
+            call.may_have_run = True
+        self._give_up(call)
+        self._refuse(call, Reason.DEADLINE_EXPIRED)
+
+    def _give_up(self, call: Call) -> None:
+        """Stop the attempt that is under way."""
+        job, call.job = call.job, None
+        link, call.link = call.link, None
+        if job is not None:
+            self._gate.cancel(job)
+        elif link is not None:
+            link.cancel(call.correlation)
+        if call.host:
+            self._chooser.finish(
+                call.host, Reason.CANCELLED, self._timers.now()
+            )
+
+    def _close(self, call: Call) -> None:
+        if call.is_done:
+            return
+        call.is_done = True
+        call.job = None
+        call.link = None
+        call.request.context = None
+        if call.deadline is not None:
+            call.deadline.cancel()
+        self.in_flight -= 1
+
+
+_HOP_TOKENS = frozenset({b'keep-alive', b'close'})
--- /dev/null
+++ b/packages/dataplane/src/turmericrouter_dataplane/frames.py
@@ -0,0 +1,226 @@
+"""Frames of the request path and their codec."""
+
+from collections.abc import Iterator
+import struct
+
+import msgspec
+
+from turmericrouter_core.errors import FrameTooLargeError
+from turmericrouter_core.errors import ProtocolError
+from turmericrouter_core.verdict import Reason
+from turmericrouter_core.verdict import Verdict
+
+_LENGTH = struct.Struct('>I')
+# A body of the longest size that a configuration may allow, and its head.
+MAX_FRAME_BYTES = 80 * 1024 * 1024
+
+
+class HostRecord(msgspec.Struct, frozen=True, array_like=True):
+    """What a host says of itself in the directory.
+
+    Args:
+        name: Unique name of the host.
+        address: `IP:PORT` of its peer listener.
+        domain: Failure domain.
+        service: Service of its target.
+        target_id: Id of the target's present start, empty if unknown.
+        slots: Requests that the target runs at once.
+        state: `TargetState` value.
+        born: Start of the target in milliseconds, by the target's clock.
+        target_address: `IP:PORT` of the target on its host.
+    """
+
+    name: str
+    address: str
+    domain: str
+    service: str
+    target_id: str = ''
+    slots: int = 0
+    state: int = 0
+    born: int = 0
+    target_address: str = ''
+
+
+class Status(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """State of a host, sent to each peer periodically and on changes.
+
+    Args:
+        host: The host and its target.
+        config_version: Version in force; -1 for none.
+        demand: Requests a second by workspace that began at this host,
+            where the workspace has a limit.
+        running: Requests at the target.
+        waiting: Requests that wait at the gate.
+        limit: Requests that the gate lets run at once.
+        is_leaving: Whether the daemon is about to stop.
+        cold_s: How long the target stays slow after its start.
+    """
+
+    host: HostRecord
+    config_version: int
+    demand: dict[str, float]
+    running: int = 0
+    waiting: int = 0
+    limit: int = 0
+    is_leaving: bool = False
+    cold_s: float = 0.0
+
+
+class Dispatch(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """A request for the target of the receiving host.
+
+    Args:
+        correlation: Names the request on its link.
+        target_id: The target that is meant; empty for any.
+        rank: Importance, 0 first.
+        is_idempotent: Whether the request may be stopped while it runs.
+        left_ms: Time until the answer is due.
+        patience_ms: Longest time it may wait for a slot.
+        head: Method, path and headers without the ones of the gate.
+        body: Whole body.
+        request_id: Id that the target echoes.
+        digest: Names the request in crash reports.
+    """
+
+    correlation: int
+    target_id: str
+    rank: int
+    is_idempotent: bool
+    left_ms: int
+    patience_ms: int
+    head: bytes
+    body: bytes
+    request_id: bytes
+    digest: int
+
+
+class Outcome(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """What became of a dispatched request, and the load of the gate.
+
+    Args:
+        correlation: Names the request on its link.
+        verdict: Whether it may have run.
+        reason: Why it ended.
+        status: Status of the target's answer, 0 if there is none.
+        head: Status line and headers of the target's answer.
+        body: Body of the target's answer.
+        running: Requests at the target.
+        waiting: Requests that wait at the gate.
+        limit: Requests that the gate lets run at once.
+        was_sent: Whether the request reached the target, even if the
+            target did not run it.
+    """
+
+    correlation: int
+    verdict: Verdict
+    reason: Reason
+    status: int = 0
+    head: bytes = b''
+    body: bytes = b''
+    running: int = 0
+    waiting: int = 0
+    limit: int = 0
+    was_sent: bool = False
+
+
+class Cancel(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """The caller of a request has gone or its time is over."""
+
+    correlation: int
+
+
+class ConfigCopy(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """A configuration as the operator published it."""
+
+    version: int
+    document: bytes
+
+
+class Probe(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Asks whether a silent link still works."""
+
+    is_reply: bool
+
+
+class CrashReport(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """A target broke off a request and could not be reached after that."""
+
+    digest: int
+    target_id: str
+
+
+class Introduction(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """Hosts that the sender knows, for one that has just started."""
+
+    hosts: list[HostRecord]
+
+
+Frame = (
+    Status
+    | Dispatch
+    | Outcome
+    | Cancel
+    | ConfigCopy
+    | Probe
+    | CrashReport
+    | Introduction
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[Frame] = msgspec.msgpack.Decoder(Frame)
+_record_decoder = msgspec.msgpack.Decoder(HostRecord)
+
+
+def encode_frame(frame: Frame) -> bytes:
+    """Return a frame with its length."""
+    payload = _encoder.encode(frame)
+    return _LENGTH.pack(len(payload)) + payload
+
+
+def encode_record(record: HostRecord) -> bytes:
+    """Return a directory record as it is kept in the log."""
+    return _encoder.encode(record)
+
+
+def decode_record(value: bytes) -> HostRecord:
+    """Read a directory record.
+
+    Raises:
+        ProtocolError: The value is not such a record.
+    """
+    try:
+        return _record_decoder.decode(value)
+    except msgspec.MsgspecError as error:
+        raise ProtocolError(f'directory record: {error}') from error
+
+
+class FrameReader:
+    """Splits a byte stream into frames."""
+
+    def __init__(self) -> None:
+        self._buffer = b''
+
+    def feed(self, data: bytes) -> Iterator[Frame]:
+        """Yield each frame that is complete.
+
+        Raises:
+            ProtocolError: The stream cannot be read on; drop the link.
+        """
+        if self._buffer:
+            data = self._buffer + data
+        view = memoryview(data)
+        start, end = 0, len(data)
+        while end - start >= 4:
+            (length,) = _LENGTH.unpack_from(data, start)
+            if length > MAX_FRAME_BYTES:
+                raise FrameTooLargeError(f'frame of {length} bytes')
+            stop = start + 4 + length
+            if stop > end:
+                break
+            try:
+                frame = _decoder.decode(view[start + 4 : stop])
+            except msgspec.MsgspecError as error:
+                raise ProtocolError(f'frame: {error}') from error
+            start = stop
+            yield frame
+        self._buffer = data[start:] if start else data
--- /dev/null
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate.py
@@ -0,0 +1,500 @@
+"""The gate: the only way to the target of this host."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import enum
+import time
+
+from turmericrouter_core.verdict import Reason
+from turmericrouter_core.verdict import Verdict
+from turmericrouter_dataplane import http_client
+from turmericrouter_dataplane.decision_log import DecisionLog
+from turmericrouter_dataplane.dialect import HeaderNames
+from turmericrouter_dataplane.frames import Dispatch
+from turmericrouter_dataplane.frames import Outcome
+from turmericrouter_dataplane.http_client import Failure
+from turmericrouter_dataplane.http_client import HttpAnswer
+from turmericrouter_dataplane.http_client import HttpClientConnection
+from turmericrouter_dataplane.policy.gate_queue import GateQueue
+from turmericrouter_dataplane.policy.target_chooser import TargetState
+from turmericrouter_dataplane.settings import Address
+from turmericrouter_dataplane.timers import Deadline
+from turmericrouter_dataplane.timers import TimerService
+
+CONNECT_TIMEOUT_S = 1.0
+# Slots are kept free where targets slow down when nearly all are taken.
+_LIMIT_SHARE = 0.94
+# Idle connections are reused within this time unless the target says less.
+_IDLE_REUSE_S = 4.0
+# A request that must not run twice gets a connection that was used just now,
+# since a reset of an older one leaves open whether the request has run.
+_SAFE_REUSE_S = 1.0
+_EXPIRY_GRACE_S = 0.15
+# Statuses by which callers take it that a request has not run.
+_PROMISES = frozenset({408, 421, 429, 503})
+
+ReplyCallback = Callable[[Outcome], None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LocalTarget:
+    """The target of this host as it announced itself.
+
+    Args:
+        target_id: Id of the target's present start.
+        service: Its service.
+        address: Where it listens.
+        slots: Requests that it runs at once.
+        state: Serving or leaving.
+        born: Start in milliseconds by the target's clock.
+        sequence: Number of the announcement.
+        cold_s: How long it stays slow after its start.
+    """
+
+    target_id: str
+    service: str
+    address: Address
+    slots: int
+    state: TargetState
+    born: int = 0
+    sequence: int = -1
+    cold_s: float = 0.0
+
+
+class _Phase(enum.Enum):
+    WAITING = 'waiting'
+    CONNECTING = 'connecting'
+    RUNNING = 'running'
+    DONE = 'done'
+
+
+class GateJob:
+    """One request at the gate."""
+
+    __slots__ = ('connection', 'deadline', 'frame', 'patience', 'phase',
+                 'received_at', 'reply')  # fmt: skip
+
+    def __init__(
+        self, frame: Dispatch, reply: ReplyCallback, received_at: float
+    ) -> None:
+        self.frame = frame
+        self.reply = reply
+        self.received_at = received_at
+        self.phase = _Phase.WAITING
+        self.connection: HttpClientConnection | None = None
+        self.deadline: Deadline | None = None
+        self.patience: Deadline | None = None
+
+    @property
+    def is_done(self) -> bool:
+        """Return whether the request has its outcome."""
+        return self.phase is _Phase.DONE
+
+    @property
+    def has_started(self) -> bool:
+        """Return whether the target may have seen the request."""
+        return self.phase is _Phase.RUNNING
+
+    @property
+    def expires_at(self) -> float:
+        """Return when the answer is due, in monotonic seconds."""
+        return self.received_at + self.frame.left_ms / 1000
+
+
+class Gate:
+    """Admits requests to the local target, in order of importance.
+
+    Args:
+        headers: Header names of the deployment.
+        timers: Timer service.
+        log: Decision log.
+        on_crash: Told the digest of a request whose connection broke.
+    """
+
+    def __init__(
+        self,
+        headers: HeaderNames,
+        timers: TimerService,
+        log: DecisionLog,
+        on_crash: Callable[[int, str], None],
+    ) -> None:
+        self._names = headers
+        self._timers = timers
+        self._log = log
+        self._on_crash = on_crash
+        self._target: LocalTarget | None = None
+        self._is_reachable = True
+        self._queue: GateQueue[GateJob] = GateQueue(64)
+        self._jobs: set[GateJob] = set()
+        self._running = 0
+        self._idle: list[HttpClientConnection] = []
+        self._connections: set[HttpClientConnection] = set()
+        self._limit = 0
+        self._max_connections = 0
+        self._dropped = frozenset({headers.load.lower()})
+        self._id_header = headers.request_id.lower()
+        self._signature = headers.signature.lower()
+        self._not_run = headers.not_run.lower()
+
+    @property
+    def target(self) -> LocalTarget | None:
+        """Return the local target."""
+        return self._target
+
+    @property
+    def running(self) -> int:
+        """Return the number of requests at the target."""
+        return self._running
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of requests that wait."""
+        return len(self._queue)
+
+    @property
+    def limit(self) -> int:
+        """Return how many requests may run at once."""
+        return self._limit
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no request is here."""
+        return not self._jobs
+
+    def set_target(self, target: LocalTarget) -> None:
+        """Take in an announcement of the target."""
+        before = self._target
+        self._target = target
+        self._is_reachable = True
+        self._limit = max(1, int(target.slots * _LIMIT_SHARE))
+        self._queue.capacity = max(8, self._limit)
+        if before is not None and before.target_id != target.target_id:
+            self._close_idle()
+        if target.state is not TargetState.SERVING:
+            for job in self._queue.clear():
+                self._refuse(job, Reason.TARGET_LEAVING)
+
+    def set_max_connections(self, count: int) -> None:
+        """Set how many connections the target accepts."""
+        self._max_connections = count
+
+    def submit(self, frame: Dispatch, reply: ReplyCallback) -> 'GateJob':
+        """Run a request, now or when there is a slot."""
+        job = GateJob(frame, reply, self._timers.now())
+        self._jobs.add(job)
+        target = self._target
+        if target is None or not self._is_reachable:
+            self._refuse(job, Reason.TARGET_UNREACHABLE)
+        elif target.state is not TargetState.SERVING:
+            self._refuse(job, Reason.TARGET_LEAVING)
+        elif frame.target_id and frame.target_id != target.target_id:
+            self._refuse(job, Reason.TARGET_RETIRED)
+        elif self._running < self._limit:
+            self._start(job)
+        else:
+            self._wait(job)
+        return job
+
+    def cancel(self, job: 'GateJob') -> None:
+        """Give up a request whose caller has gone or whose time is over.
+
+        One that must not run twice and is at the target runs on.
+        """
+        if job.phase is _Phase.DONE:
+            return
+        if job.phase is _Phase.RUNNING and not job.frame.is_idempotent:
+            job.reply = _ignore
+            return
+        if job.phase is _Phase.WAITING:
+            self._queue.remove(job.frame.rank, job)
+        self._end(job)
+
+    def prune(self) -> None:
+        """Close connections that have been idle for long."""
+        oldest = time.monotonic() - _IDLE_REUSE_S
+        while self._idle and self._idle[0].idle_since < oldest:
+            self._idle.pop(0).close()
+
+    def stop(self) -> None:
+        """Close all connections."""
+        for connection in list(self._connections):
+            connection.abort()
+
+    def _wait(self, job: GateJob) -> None:
+        patience_s = min(
+            job.frame.patience_ms / 1000, job.frame.left_ms / 1000
+        )
+        if patience_s <= 0:
+            self._refuse(job, Reason.SHED_AT_GATE)
+            return
+        evicted = self._queue.push(job.frame.rank, job)
+        if evicted is not job:
+            job.patience = self._timers.at(
+                job.received_at + patience_s,
+                lambda: self._run_out(job),
+            )
+        if evicted is not None:
+            self._refuse(evicted, Reason.EVICTED)
+
+    def _run_out(self, job: GateJob) -> None:
+        if job.phase is _Phase.WAITING:
+            self._queue.remove(job.frame.rank, job)
+            self._refuse(job, Reason.SHED_AT_GATE)
+
+    def _start(self, job: GateJob) -> None:
+        self._running += 1
+        if job.patience is not None:
+            job.patience.cancel()
+        connection = self._take_idle(job.frame.is_idempotent)
+        if connection is not None:
+            self._run(job, connection)
+            return
+        job.phase = _Phase.CONNECTING
+        asyncio.ensure_future(self._connect(job))
+
+    def _take_idle(self, is_idempotent: bool) -> HttpClientConnection | None:
+        idle = self._idle
+        now = time.monotonic()
+        while idle:
+            connection = idle[-1]
+            age = now - connection.idle_since
+            longest = _IDLE_REUSE_S
+            if connection.keep_alive_s:
+                longest = min(longest, connection.keep_alive_s - 0.5)
+            if not connection.is_reusable or age > longest:
+                idle.pop().close()
+                continue
+            if not is_idempotent and age > min(_SAFE_REUSE_S, longest / 2):
+                return None
+            return idle.pop()
+        return None
+
+    async def _connect(self, job: GateJob) -> None:
+        target = self._target
+        assert target is not None
+        try:
+            connection = await http_client.connect(
+                target.address.ip,
+                target.address.port,
+                self._connections.discard,
+                timeout_s=CONNECT_TIMEOUT_S,
+                dropped_headers=self._dropped,
+                id_header=self._id_header,
+            )
+        except (OSError, TimeoutError) as error:
+            self._target_unreachable(target, error)
+            if job.phase is not _Phase.DONE:
+                self._refuse(job, Reason.TARGET_UNREACHABLE)
+            return
+        self._connections.add(connection)
+        if job.phase is _Phase.DONE:
+            self._idle.append(connection)
+            return
+        now_target = self._target
+        if now_target is not None and now_target.target_id == target.target_id:
+            self._run(job, connection)
+            return
+        connection.close()
+        self._refuse(job, Reason.TARGET_RETIRED)
+
+    def _target_unreachable(
+        self, target: LocalTarget, error: Exception
+    ) -> None:
+        if self._target is target and self._is_reachable:
+            self._is_reachable = False
+            self._close_idle()
+            self._log.event(
+                'target_unreachable',
+                target=target.target_id,
+                error=repr(error),
+            )
+            self._timers.at(self._timers.now() + 0.5, self._try_again)
+
+    def _try_again(self) -> None:
+        self._is_reachable = True
+
+    def _run(self, job: GateJob, connection: HttpClientConnection) -> None:
+        frame = job.frame
+        target = self._target
+        assert target is not None
+        left_ms = int((job.expires_at - self._timers.now()) * 1000)
+        if left_ms <= 0:
+            self._give_back(connection)
+            self._refuse(job, Reason.DEADLINE_EXPIRED)
+            return
+        names = self._names
+        job.phase = _Phase.RUNNING
+        job.connection = connection
+        job.deadline = self._timers.at(
+            job.expires_at + _EXPIRY_GRACE_S, lambda: self._expire(job)
+        )
+        connection.send(
+            b'%b%b: %d\r\n%b: %b\r\n\r\n%b'
+            % (
+                frame.head,
+                names.deadline_ms,
+                left_ms,
+                names.target_id,
+                target.target_id.encode(),
+                frame.body,
+            ),
+            lambda result: self._answered(job, result),
+            expected_id=frame.request_id,
+            is_head=frame.head.startswith(b'HEAD '),
+        )
+
+    def _expire(self, job: GateJob) -> None:
+        if job.phase is not _Phase.RUNNING:
+            return
+        if job.frame.is_idempotent:
+            self._reply(
+                job, Verdict.MAY_HAVE_RUN, Reason.DEADLINE_EXPIRED, sent=True
+            )
+            return
+        # The target stops by itself; its answer may still be on the way.
+        job.deadline = self._timers.at(
+            self._timers.now() + 5.0, lambda: self._abandon(job)
+        )
+
+    def _abandon(self, job: GateJob) -> None:
+        if job.phase is _Phase.RUNNING:
+            self._reply(
+                job, Verdict.MAY_HAVE_RUN, Reason.DEADLINE_EXPIRED, sent=True
+            )
+
+    def _answered(self, job: GateJob, result: HttpAnswer | Failure) -> None:
+        connection = job.connection
+        job.connection = None
+        if isinstance(result, Failure):
+            reason = Reason.TARGET_ANSWER_INVALID
+            if result is Failure.BROKEN:
+                reason = Reason.TARGET_CRASHED
+                self._suspect_crash(job)
+            self._reply(job, Verdict.MAY_HAVE_RUN, reason, sent=True)
+            return
+        assert connection is not None
+        self._give_back(connection)
+        self._classify(job, result)
+
+    def _classify(self, job: GateJob, answer: HttpAnswer) -> None:
+        headers, status = answer.headers, answer.status
+        if status == 421 or self._not_run in headers:
+            reason = (
+                Reason.TARGET_RETIRED if status == 421 else Reason.TARGET_SHED
+            )
+            self._reply(job, Verdict.NOT_RUN, reason, sent=True)
+            return
+        is_signed = self._signature in headers
+        if (status < 300 and not is_signed) or status in _PROMISES:
+            self._reply(
+                job,
+                Verdict.MAY_HAVE_RUN,
+                Reason.TARGET_ANSWER_INVALID,
+                sent=True,
+            )
+            return
+        self._finish(
+            job,
+            Outcome(
+                job.frame.correlation,
+                Verdict.RAN,
+                Reason.SERVED,
+                status,
+                answer.head,
+                answer.body,
+                self._running - 1,
+                len(self._queue),
+                self._limit,
+                True,
+            ),
+        )
+
+    def _suspect_crash(self, job: GateJob) -> None:
+        target = self._target
+        if target is not None and job.frame.digest:
+            asyncio.ensure_future(self._check_crash(job.frame.digest, target))
+
+    async def _check_crash(self, digest: int, target: LocalTarget) -> None:
+        """Report the request if the target cannot be reached any more."""
+        try:
+            connection = await http_client.connect(
+                target.address.ip,
+                target.address.port,
+                self._connections.discard,
+                timeout_s=CONNECT_TIMEOUT_S,
+                dropped_headers=self._dropped,
+                id_header=self._id_header,
+            )
+        except (OSError, TimeoutError) as error:
+            self._target_unreachable(target, error)
+            self._on_crash(digest, target.target_id)
+            return
+        self._connections.add(connection)
+        self._idle.append(connection)
+
+    def _give_back(self, connection: HttpClientConnection) -> None:
+        if connection.is_reusable:
+            self._idle.append(connection)
+        else:
+            connection.close()
+
+    def _close_idle(self) -> None:
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            connection.close()
+
+    def _refuse(self, job: GateJob, reason: Reason) -> None:
+        self._reply(job, Verdict.NOT_RUN, reason)
+
+    def _reply(
+        self,
+        job: GateJob,
+        verdict: Verdict,
+        reason: Reason,
+        *,
+        sent: bool = False,
+    ) -> None:
+        self._finish(
+            job,
+            Outcome(
+                job.frame.correlation,
+                verdict,
+                reason,
+                running=self._running,
+                waiting=len(self._queue),
+                limit=self._limit,
+                was_sent=sent,
+            ),
+        )
+
+    def _finish(self, job: GateJob, outcome: Outcome) -> None:
+        reply = job.reply
+        self._end(job)
+        reply(outcome)
+
+    def _end(self, job: GateJob) -> None:
+        """Free what a request holds, and start the next one."""
+        phase, job.phase = job.phase, _Phase.DONE
+        self._jobs.discard(job)
+        if job.deadline is not None:
+            job.deadline.cancel()
+        if job.patience is not None:
+            job.patience.cancel()
+        connection, job.connection = job.connection, None
+        if connection is not None:
+            connection.abort()
+        if phase in (_Phase.CONNECTING, _Phase.RUNNING):
+            self._running -= 1
+            self._start_next()
+
+    def _start_next(self) -> None:
+        while self._running < self._limit:
+            job = self._queue.pop()
+            if job is None:
+                return
+            self._start(job)
+
+
+def _ignore(outcome: Outcome) -> None:
+    """Take the outcome of a request that nobody waits for."""
--- /dev/null
+++ b/packages/dataplane/src/turmericrouter_dataplane/http_client.py
@@ -0,0 +1,377 @@
+"""HTTP/1.1 client connection on the parser of httptools."""
+
+import asyncio
+from collections.abc import Callable
+import enum
+import socket
+import time
+from typing import cast
+
+import httptools
+
+from turmericrouter_dataplane.http_server import status_line
+
+_HOP_HEADERS = frozenset(
+    {
+        b'connection',
+        b'keep-alive',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'content-length',
+        b'upgrade',
+    }
+)
+# Unacknowledged data breaks the connection after this time.
+USER_TIMEOUT_MS = 3000
+
+
+class Failure(enum.Enum):
+    """Why a connection gave no whole answer."""
+
+    BROKEN = 'broken'
+    INVALID = 'invalid'
+
+
+class HttpAnswer:
+    """A whole answer.
+
+    Args:
+        status: Status code.
+        head: Status line and the headers that may be passed on.
+        headers: All headers by lower-case name.
+        body: Whole body without transfer coding.
+    """
+
+    __slots__ = ('body', 'head', 'headers', 'status')
+
+    def __init__(
+        self,
+        status: int,
+        head: bytes,
+        headers: dict[bytes, bytes],
+        body: bytes,
+    ) -> None:
+        self.status = status
+        self.head = head
+        self.headers = headers
+        self.body = body
+
+
+AnswerCallback = Callable[[HttpAnswer | Failure], None]
+
+
+def set_user_timeout(transport: asyncio.BaseTransport) -> None:
+    """Bound the time that sent data may stay unacknowledged."""
+    sock = transport.get_extra_info('socket')
+    if sock is not None:
+        try:
+            sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+            )
+        except OSError:
+            # A Unix socket has no such option and needs none.
+            return
+
+
+class HttpClientConnection(asyncio.Protocol):
+    """One connection to a server, with one request at a time.
+
+    Args:
+        on_closed: Told once when the connection is gone.
+        dropped_headers: Lower-case headers that are not passed on.
+        id_header: Lower-case header by which answers name their request.
+    """
+
+    def __init__(
+        self,
+        on_closed: Callable[['HttpClientConnection'], None],
+        *,
+        dropped_headers: frozenset[bytes] = frozenset(),
+        id_header: bytes = b'',
+    ) -> None:
+        self._on_closed = on_closed
+        self._dropped = _HOP_HEADERS | dropped_headers
+        self._id_header = id_header
+        self._parser = httptools.HttpResponseParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._callback: AnswerCallback | None = None
+        self._expected_id = b''
+        self._is_head = False
+        self._headers: dict[bytes, bytes] = {}
+        self._lines: list[bytes] = []
+        self._body: list[bytes] = []
+        self._in_message = False
+        self._headers_done = False
+        self._surplus = False
+        self.idle_since = time.monotonic()
+        self.keep_alive_s = 0.0
+        self.served = 0
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether a request can be sent."""
+        return self._transport is not None
+
+    @property
+    def is_busy(self) -> bool:
+        """Return whether an answer is due."""
+        return self._callback is not None
+
+    @property
+    def is_reusable(self) -> bool:
+        """Return whether the next request may go over this connection."""
+        transport = self._transport
+        return (
+            transport is not None
+            and not self._surplus
+            and not transport.is_closing()
+            # The server may still be reading the body it answered early.
+            and transport.get_write_buffer_size() == 0
+        )
+
+    def send(
+        self,
+        data: bytes,
+        callback: AnswerCallback,
+        *,
+        expected_id: bytes = b'',
+        is_head: bool = False,
+    ) -> None:
+        """Send a request; the callback gets its answer or the failure.
+
+        Args:
+            data: The whole request.
+            callback: Called once.
+            expected_id: Value of the id header; other answers are skipped.
+            is_head: Whether the answer has no body whatever it says.
+        """
+        assert self._transport is not None
+        self._callback = callback
+        self._expected_id = expected_id
+        self._is_head = is_head
+        self.served += 1
+        self._transport.write(data)
+
+    def abort(self) -> None:
+        """Close at once; no callback is made."""
+        self._callback = None
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close(self) -> None:
+        """Close an idle connection."""
+        self._callback = None
+        if self._transport is not None:
+            self._transport.close()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = cast(asyncio.Transport, transport)
+        set_user_timeout(transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came in."""
+        if self._callback is None:
+            # Bytes that belong to no request spoil the connection.
+            self._surplus = True
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._fail(Failure.INVALID)
+
+    def eof_received(self) -> bool:
+        """End an answer whose length is the end of its connection."""
+        if self._headers_done and self._is_unframed():
+            self._finish_message()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the request that waits."""
+        self._transport = None
+        self._on_closed(self)
+        callback, self._callback = self._callback, None
+        if callback is not None:
+            callback(Failure.BROKEN)
+
+    def on_message_begin(self) -> None:
+        """Start an answer."""
+        if self._callback is None:
+            self._surplus = True
+        self._in_message = True
+        self._headers_done = False
+        self._headers = {}
+        self._lines = []
+        self._body = []
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header."""
+        lower = name.lower()
+        self._headers[lower] = value
+        if lower not in self._dropped:
+            self._lines.append(b'%b: %b\r\n' % (name, value))
+
+    def on_headers_complete(self) -> None:
+        """End an answer that has no body by the method of its request."""
+        self._headers_done = True
+        if self._is_head and self._parser.get_status_code() >= 200:
+            self._surplus = True
+            self._finish_message()
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """End an answer."""
+        self._finish_message()
+
+    def _is_unframed(self) -> bool:
+        headers = self._headers
+        return (
+            self._in_message
+            and b'content-length' not in headers
+            and b'transfer-encoding' not in headers
+        )
+
+    def _finish_message(self) -> None:
+        if not self._in_message:
+            return
+        self._in_message = False
+        status = self._parser.get_status_code()
+        if status < 200 or self._callback is None:
+            return
+        headers = self._headers
+        echoed = headers.get(self._id_header, b'')
+        if self._expected_id and echoed and echoed != self._expected_id:
+            # A late answer to an earlier request; the own one may follow.
+            self._surplus = True
+            return
+        if not self._parser.should_keep_alive():
+            self._surplus = True
+        self._note_keep_alive(headers)
+        body = self._body
+        answer = HttpAnswer(
+            status,
+            status_line(status) + b''.join(self._lines),
+            headers,
+            body[0] if len(body) == 1 else b''.join(body),
+        )
+        callback, self._callback = self._callback, None
+        self.idle_since = time.monotonic()
+        callback(answer)
+
+    def _note_keep_alive(self, headers: dict[bytes, bytes]) -> None:
+        value = headers.get(b'keep-alive')
+        if value is None:
+            return
+        for part in value.split(b','):
+            name, _, seconds = part.strip().partition(b'=')
+            if name == b'timeout' and seconds.isdigit():
+                self.keep_alive_s = float(seconds)
+
+    def _fail(self, failure: Failure) -> None:
+        callback, self._callback = self._callback, None
+        self._surplus = True
+        if self._transport is not None:
+            self._transport.abort()
+        if callback is not None:
+            callback(failure)
+
+
+async def connect(
+    ip: str,
+    port: int,
+    on_closed: Callable[[HttpClientConnection], None],
+    *,
+    timeout_s: float,
+    dropped_headers: frozenset[bytes] = frozenset(),
+    id_header: bytes = b'',
+) -> HttpClientConnection:
+    """Open a connection.
+
+    Raises:
+        OSError: It could not be opened in time.
+    """
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(timeout_s):
+        _, connection = await loop.create_connection(
+            lambda: HttpClientConnection(
+                on_closed,
+                dropped_headers=dropped_headers,
+                id_header=id_header,
+            ),
+            ip,
+            port,
+        )
+    return connection
+
+
+class HttpClient:
+    """Calls to one server over one kept connection.
+
+    Args:
+        ip: Address of the server.
+        port: Port of the server.
+    """
+
+    def __init__(self, ip: str, port: int) -> None:
+        self._ip = ip
+        self._port = port
+        self._connection: HttpClientConnection | None = None
+        self._lock = asyncio.Lock()
+
+    async def call(
+        self, method: str, path: str, body: bytes, *, timeout_s: float
+    ) -> HttpAnswer:
+        """Make a call; calls wait for one another.
+
+        Raises:
+            OSError: There was no whole answer in time; the call may have
+                had its effect.
+        """
+        async with self._lock, asyncio.timeout(timeout_s):
+            connection = await self._connect(timeout_s)
+            future: asyncio.Future[HttpAnswer | Failure] = (
+                asyncio.get_running_loop().create_future()
+            )
+            head = (
+                f'{method} {path} HTTP/1.1\r\nHost: {self._ip}:{self._port}\r\n'
+            )
+            if method != 'GET':
+                head += f'Content-Length: {len(body)}\r\n'
+                if body.startswith(b'{'):
+                    head += 'Content-Type: application/json\r\n'
+            connection.send(
+                head.encode() + b'\r\n' + body,
+                lambda result: future.done() or future.set_result(result),
+            )
+            try:
+                result = await future
+            except BaseException:
+                connection.abort()
+                raise
+            if isinstance(result, Failure):
+                raise ConnectionError(f'{method} {path}: {result.value}')
+            if not connection.is_reusable:
+                connection.close()
+            return result
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._connection is not None:
+            self._connection.abort()
+
+    async def _connect(self, timeout_s: float) -> HttpClientConnection:
+        connection = self._connection
+        if connection is not None and connection.is_open:
+            if connection.is_reusable and not connection.is_busy:
+                return connection
+            connection.abort()
+        self._connection = await connect(
+            self._ip, self._port, lambda _: None, timeout_s=timeout_s
+        )
+        return self._connection
--- /dev/null
+++ b/packages/dataplane/src/turmericrouter_dataplane/http_server.py
@@ -0,0 +1,291 @@
+"""HTTP/1.1 server connection on the parser of httptools."""
+
+import asyncio
+from collections.abc import Callable
+import http
+import time
+from typing import cast
+from typing import Protocol
+
+import httptools
+
+from turmericrouter_dataplane.model import CallerLimits
+
+STATUS_LINES = {
+    status.value: b'HTTP/1.1 %d %s\r\n' % (status.value, status.phrase.encode())
+    for status in http.HTTPStatus
+}
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+_MAX_PIPELINED = 64
+
+Headers = list[tuple[bytes, bytes, bytes]]
+
+
+class HttpRequest:
+    """A whole request as it was read.
+
+    Args:
+        method: Method, as sent.
+        target: Path with query, as sent.
+        headers: Lower-case name, name as sent, and value of each header.
+        body: Whole body without transfer coding.
+        has_body: Whether the request announced a body, even an empty one.
+        close: Whether the caller closes the connection after the answer.
+    """
+
+    __slots__ = (
+        'body', 'close', 'connection', 'context', 'has_body', 'headers',
+        'method', 'target',
+    )  # fmt: skip
+
+    def __init__(
+        self,
+        connection: 'HttpServerConnection',
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: bytes,
+        *,
+        has_body: bool,
+        close: bool,
+    ) -> None:
+        self.connection = connection
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.has_body = has_body
+        self.close = close
+        # What the handler keeps beside the request.
+        self.context: object = None
+
+
+class RequestHandler(Protocol):
+    """Takes whole requests; answers by `HttpServerConnection.respond`."""
+
+    def handle(self, request: HttpRequest) -> None:
+        """Start to serve a request."""
+
+    def abandon(self, request: HttpRequest) -> None:
+        """Learn that the caller of a request has gone."""
+
+
+def status_line(status: int) -> bytes:
+    """Return the first line of an answer."""
+    return STATUS_LINES.get(status) or b'HTTP/1.1 %d Other\r\n' % status
+
+
+class HttpServerConnection(asyncio.Protocol):
+    """One connection of a caller, which serves one request at a time.
+
+    Args:
+        server: Owner of the connection.
+    """
+
+    def __init__(self, server: 'HttpServer') -> None:
+        self._server = server
+        self._handler = server.handler
+        self._parser = httptools.HttpRequestParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._headers: Headers = []
+        self._target = b''
+        self._body: list[bytes] = []
+        self._size = 0
+        self._has_body = False
+        self._waiting: list[HttpRequest] = []
+        self._current: HttpRequest | None = None
+        self._failed = False
+        self.last_active = time.monotonic()
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no request is being read or served."""
+        return self._current is None and not self._target
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether the caller is still connected."""
+        return self._transport is not None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Join the connections of the server."""
+        self._transport = cast(asyncio.Transport, transport)
+        self._server.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell the handler that the callers of open requests have gone."""
+        self._transport = None
+        self._server.connections.discard(self)
+        current, self._current = self._current, None
+        self._waiting.clear()
+        if current is not None:
+            self._handler.abandon(current)
+
+    def eof_received(self) -> bool:
+        """Treat a half-closed connection as a caller that has gone."""
+        return False
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came in."""
+        self.last_active = time.monotonic()
+        if self._failed:
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self.fail(400)
+        except httptools.HttpParserError:
+            self.fail(400)
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self._headers = []
+        self._body = []
+        self._size = 0
+        self._target = b''
+        self._has_body = False
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the path."""
+        self._target += url
+        self._grow(len(url), 431)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header."""
+        lower = name.lower()
+        if lower in (b'content-length', b'transfer-encoding'):
+            self._has_body = True
+        elif lower == b'expect' and self._transport is not None:
+            self._transport.write(_CONTINUE)
+        self._headers.append((lower, name, value))
+        self._grow(len(name) + len(value) + 4, 431)
+
+    def on_headers_complete(self) -> None:
+        """Count the body from zero."""
+        self._size = 0
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
+        self._body.append(body)
+        self._grow(len(body), 413)
+
+    def on_message_complete(self) -> None:
+        """Serve the request, or keep it until the one before is answered."""
+        if self._failed:
+            return
+        request = HttpRequest(
+            self,
+            self._parser.get_method(),
+            self._target,
+            self._headers,
+            self._body[0] if len(self._body) == 1 else b''.join(self._body),
+            has_body=self._has_body,
+            close=not self._parser.should_keep_alive(),
+        )
+        self._target = b''
+        if self._current is not None:
+            self._waiting.append(request)
+            if len(self._waiting) > _MAX_PIPELINED:
+                self.close()
+            return
+        self._current = request
+        self._handler.handle(request)
+
+    def respond(
+        self, request: HttpRequest, head: bytes, body: bytes
+    ) -> bool:
+        """Answer the request that is being served.
+
+        Args:
+            request: The request.
+            head: Status line and headers without length and connection.
+            body: Whole body.
+
+        Returns:
+            Whether the caller was still there.
+        """
+        if self._current is not request or self._transport is None:
+            return False
+        close = request.close or self._server.is_leaving
+        self._transport.write(
+            b'%bContent-Length: %d\r\n%b\r\n%b'
+            % (head, len(body), b'Connection: close\r\n' if close else b'',
+               body)
+        )  # fmt: skip
+        self._current = None
+        if close:
+            self._transport.close()
+        elif self._waiting:
+            self._current = self._waiting.pop(0)
+            self._handler.handle(self._current)
+        return True
+
+    def fail(self, status: int) -> None:
+        """Refuse what cannot be read, and close."""
+        self._failed = True
+        self._server.on_bad_request(status)
+        if self._transport is None:
+            return
+        if self._current is None:
+            self._transport.write(
+                b'%bContent-Length: 0\r\nConnection: close\r\n\r\n'
+                % status_line(status)
+            )
+        self._transport.close()
+
+    def close(self) -> None:
+        """Close the connection after what was written is sent."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def _grow(self, size: int, status: int) -> None:
+        self._size += size
+        limits = self._server.limits
+        limit = (
+            limits.max_header_bytes if status == 431 else limits.max_body_bytes
+        )
+        if self._size > limit and not self._failed:
+            self.fail(status)
+
+
+class HttpServer:
+    """A listener and its connections.
+
+    Args:
+        handler: Serves the requests.
+        on_bad_request: Told the status of a request that cannot be read.
+    """
+
+    def __init__(
+        self,
+        handler: RequestHandler,
+        on_bad_request: Callable[[int], None] = lambda status: None,
+    ) -> None:
+        self.handler = handler
+        self.on_bad_request = on_bad_request
+        self.limits = CallerLimits()
+        self.connections: set[HttpServerConnection] = set()
+        self.is_leaving = False
+        self._server: asyncio.Server | None = None
+
+    async def start(self, ip: str, port: int) -> None:
+        """Open the listener."""
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: HttpServerConnection(self),
+            ip,
+            port,
+            reuse_address=True,
+            backlog=1024,
+        )
+
+    def close_idle(self, idle_s: float) -> None:
+        """Close connections that had no request for some time."""
+        oldest = time.monotonic() - idle_s
+        for connection in list(self.connections):
+            if connection.is_idle and connection.last_active < oldest:
+                connection.close()
+
+    def stop_listening(self) -> None:
+        """Close the listener; open connections are served on."""
+        if self._server is not None:
+            self._server.close()
--- /dev/null
+++ b/packages/dataplane/src/turmericrouter_dataplane/links.py
@@ -0,0 +1,255 @@
+"""Links between daemons: one connection a direction, multiplexed."""
+
+import asyncio
+from collections.abc import Callable
+import time
+from typing import cast
+from typing import Protocol
+
+from turmericrouter_core.errors import ProtocolError
+from turmericrouter_core.verdict import Reason
+from turmericrouter_core.verdict import Verdict
+from turmericrouter_dataplane.frames import Cancel
+from turmericrouter_dataplane.frames import Dispatch
+from turmericrouter_dataplane.frames import encode_frame
+from turmericrouter_dataplane.frames import Frame
+from turmericrouter_dataplane.frames import FrameReader
+from turmericrouter_dataplane.frames import Outcome
+from turmericrouter_dataplane.frames import Probe
+from turmericrouter_dataplane.http_client import set_user_timeout
+
+CONNECT_TIMEOUT_S = 1.0
+# A link with calls in flight is asked for a sign of life after this silence.
+PROBE_AFTER_S = 0.4
+# Silence after a probe that ends the link.
+DEAD_AFTER_S = 0.9
+FIRST_RECONNECT_S = 0.2
+LONGEST_RECONNECT_S = 2.0
+
+OutcomeCallback = Callable[[Outcome], None]
+
+
+class FrameHandler(Protocol):
+    """Takes frames that peers send."""
+
+    def handle(self, link: 'Link', frame: Frame) -> None:
+        """Handle a frame other than an outcome or a probe."""
+
+    def link_opened(self, link: 'Link') -> None:
+        """Learn of a link that can be used."""
+
+    def link_closed(self, link: 'Link') -> None:
+        """Learn of a link that is gone."""
+
+
+class Link(asyncio.Protocol):
+    """One connection between two daemons.
+
+    Args:
+        handler: Takes frames of the peer.
+        peer: Name of the peer where this side has opened the link.
+    """
+
+    def __init__(self, handler: FrameHandler, peer: str = '') -> None:
+        self._handler = handler
+        self._reader = FrameReader()
+        self._transport: asyncio.Transport | None = None
+        self._pending: dict[int, OutcomeCallback] = {}
+        self._last_correlation = 0
+        self._heard_at = 0.0
+        self._probed_at = 0.0
+        self.peer = peer
+        self.closed: asyncio.Future[None] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether frames can be sent."""
+        return self._transport is not None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Tell the handler."""
+        self._transport = cast(asyncio.Transport, transport)
+        self._heard_at = time.monotonic()
+        set_user_timeout(transport)
+        self._handler.link_opened(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Handle every whole frame."""
+        self._heard_at = time.monotonic()
+        self._probed_at = 0.0
+        try:
+            for frame in self._reader.feed(data):
+                self._receive(frame)
+        except ProtocolError:
+            # What follows on the stream cannot be read.
+            self.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the calls in flight; the peer may have handled them."""
+        self._transport = None
+        if not self.closed.done():
+            self.closed.set_result(None)
+        pending, self._pending = self._pending, {}
+        self._handler.link_closed(self)
+        for correlation, callback in pending.items():
+            callback(
+                Outcome(correlation, Verdict.MAY_HAVE_RUN, Reason.LINK_LOST)
+            )
+
+    def next_correlation(self) -> int:
+        """Return a number that no other call on this link has."""
+        self._last_correlation += 1
+        return self._last_correlation
+
+    def dispatch(self, frame: Dispatch, callback: OutcomeCallback) -> None:
+        """Send a request; the callback gets its outcome."""
+        if self._transport is None:
+            callback(
+                Outcome(
+                    frame.correlation, Verdict.NOT_RUN, Reason.LINK_NOT_SENT
+                )
+            )
+            return
+        if not self._pending:
+            self._heard_at = time.monotonic()
+        self._pending[frame.correlation] = callback
+        self._transport.write(encode_frame(frame))
+
+    def cancel(self, correlation: int) -> None:
+        """Give a call up; its callback is not made."""
+        if self._pending.pop(correlation, None) is not None:
+            self.send(Cancel(correlation))
+
+    def send(self, frame: Frame) -> None:
+        """Send a frame; dropped if the link is gone."""
+        if self._transport is not None:
+            self._transport.write(encode_frame(frame))
+
+    def check(self, now: float) -> None:
+        """End the link if its calls get no sign of life."""
+        if not self._pending or self._transport is None:
+            return
+        if self._probed_at:
+            if now - self._probed_at > DEAD_AFTER_S:
+                self.abort()
+        elif now - self._heard_at > PROBE_AFTER_S:
+            self._probed_at = now
+            self.send(Probe(False))
+
+    def close(self) -> None:
+        """Close after what was written is sent."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Close at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _receive(self, frame: Frame) -> None:
+        if isinstance(frame, Outcome):
+            callback = self._pending.pop(frame.correlation, None)
+            if callback is not None:
+                callback(frame)
+        elif isinstance(frame, Probe):
+            if not frame.is_reply:
+                self.send(Probe(True))
+        else:
+            self._handler.handle(self, frame)
+
+
+class LinkPool:
+    """Links that this daemon has opened, kept open while they are wanted.
+
+    Args:
+        handler: Takes frames of the peers.
+    """
+
+    def __init__(self, handler: FrameHandler) -> None:
+        self._handler = handler
+        self._links: dict[str, Link] = {}
+        self._addresses: dict[str, str] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._stopped = False
+
+    def get(self, peer: str) -> Link | None:
+        """Return the open link to a peer."""
+        link = self._links.get(peer)
+        return link if link is not None and link.is_open else None
+
+    def want(self, peer: str, address: str) -> None:
+        """Keep a link to a peer open from now on."""
+        if self._addresses.get(peer) == address or self._stopped:
+            return
+        self.forget(peer)
+        self._addresses[peer] = address
+        self._tasks[peer] = asyncio.ensure_future(self._keep(peer, address))
+
+    def forget(self, peer: str) -> None:
+        """Close the link to a peer and keep none open."""
+        self._addresses.pop(peer, None)
+        task = self._tasks.pop(peer, None)
+        if task is not None:
+            task.cancel()
+        link = self._links.pop(peer, None)
+        if link is not None:
+            link.close()
+
+    def check(self, now: float) -> None:
+        """Check all links for signs of life."""
+        for link in list(self._links.values()):
+            link.check(now)
+
+    def open_links(self) -> list[Link]:
+        """Return all links that can be used."""
+        return [link for link in self._links.values() if link.is_open]
+
+    def stop(self) -> None:
+        """Close all links."""
+        self._stopped = True
+        for peer in list(self._addresses):
+            self.forget(peer)
+
+    async def _keep(self, peer: str, address: str) -> None:
+        ip, _, port = address.rpartition(':')
+        wait_s = FIRST_RECONNECT_S
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    _, link = await loop.create_connection(
+                        lambda: Link(self._handler, peer), ip, int(port)
+                    )
+            except (OSError, TimeoutError):
+                await asyncio.sleep(wait_s)
+                wait_s = min(LONGEST_RECONNECT_S, wait_s * 1.5)
+                continue
+            self._links[peer] = link
+            wait_s = FIRST_RECONNECT_S
+            await link.closed
+            await asyncio.sleep(wait_s)
+
+
+class LinkServer:
+    """Accepts links of other daemons.
+
+    Args:
+        handler: Takes frames of the peers.
+    """
+
+    def __init__(self, handler: FrameHandler) -> None:
+        self._handler = handler
+        self._server: asyncio.Server | None = None
+
+    async def start(self, ip: str, port: int) -> None:
+        """Open the listener."""
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: Link(self._handler), ip, port, reuse_address=True
+        )
+
+    def stop(self) -> None:
+        """Close the listener."""
+        if self._server is not None:
+            self._server.close()
--- /dev/null
+++ b/packages/dataplane/src/turmericrouter_dataplane/log_service.py
@@ -0,0 +1,53 @@
+"""What the daemon asks of the platform's log."""
+
+import dataclasses
+import enum
+from typing import Protocol
+
+from turmericrouter_core.errors import LogServiceError
+
+
+class Stream(enum.Enum):
+    """Streams of the log that the daemon uses; the newest record of each
+    key is kept.
+    """
+
+    CONFIGURATION = 'configuration'
+    HOSTS = 'hosts'
+
+
+class HistoryLostError(LogServiceError):
+    """Records between the wanted offset and the oldest one are gone."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyedRecord:
+    """A record of a stream; an empty value drops its key."""
+
+    key: str
+    value: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Page:
+    """Records and the offset after the last one."""
+
+    records: tuple[KeyedRecord, ...]
+    end: int
+
+
+class LogService(Protocol):
+    """The platform's log; each call raises `LogServiceError` on failure."""
+
+    async def newest(self, stream: Stream) -> Page:
+        """Return the newest record of each key."""
+
+    async def read(self, stream: Stream, start: int, wait_s: float) -> Page:
+        """Return records from an offset on, as soon as there are any.
+
+        Raises:
+            HistoryLostError: The offset is older than the oldest record.
+        """
+
+    async def append(self, stream: Stream, record: KeyedRecord) -> None:
+        """Add a record; after an error it may have been added."""
--- /dev/null
+++ b/packages/dataplane/src/turmericrouter_dataplane/members.py
@@ -0,0 +1,364 @@
+"""Hosts of the fleet, the links to them, and what they say of themselves."""
+
+from collections.abc import Callable
+import time
+
+from turmericrouter_core.errors import LogServiceError
+from turmericrouter_core.errors import ProtocolError
+from turmericrouter_dataplane.config_feed import ConfigFeed
+from turmericrouter_dataplane.decision_log import DecisionLog
+from turmericrouter_dataplane.frames import Cancel
+from turmericrouter_dataplane.frames import ConfigCopy
+from turmericrouter_dataplane.frames import CrashReport
+from turmericrouter_dataplane.frames import decode_record
+from turmericrouter_dataplane.frames import Dispatch
+from turmericrouter_dataplane.frames import encode_record
+from turmericrouter_dataplane.frames import Frame
+from turmericrouter_dataplane.frames import HostRecord
+from turmericrouter_dataplane.frames import Introduction
+from turmericrouter_dataplane.frames import Outcome
+from turmericrouter_dataplane.frames import Status
+from turmericrouter_dataplane.gate import Gate
+from turmericrouter_dataplane.gate import GateJob
+from turmericrouter_dataplane.links import Link
+from turmericrouter_dataplane.links import LinkPool
+from turmericrouter_dataplane.log_service import KeyedRecord
+from turmericrouter_dataplane.log_service import LogService
+from turmericrouter_dataplane.log_service import Stream
+from turmericrouter_dataplane.policy.crash_marks import CrashMarks
+from turmericrouter_dataplane.policy.retry_budget import RetryBudget
+from turmericrouter_dataplane.policy.target_chooser import TargetChooser
+from turmericrouter_dataplane.policy.workspace_quota import WorkspaceQuota
+
+STATUS_PERIOD_S = 1.0
+# A host that was not heard for this long counts as cut off.
+SILENCE_S = 2.6
+# A peer that lags behind gets the configuration after this time; by then
+# it would have it from the log, were the log in its reach.
+_LAG_S = 0.7
+
+
+class Members:
+    """Keeps links to all hosts and serves the requests they dispatch.
+
+    Args:
+        record: What this host says of itself at its start.
+        gate: Gate of the local target.
+        chooser: Chooses targets.
+        quota: Allowances of workspaces.
+        budget: Bounds repeats.
+        crash_marks: Requests that crash targets.
+        config: Configuration in force.
+        log: Decision log.
+    """
+
+    def __init__(
+        self,
+        record: HostRecord,
+        *,
+        gate: Gate,
+        chooser: TargetChooser,
+        quota: WorkspaceQuota,
+        budget: RetryBudget,
+        crash_marks: CrashMarks,
+        config: ConfigFeed,
+        log: DecisionLog,
+    ) -> None:
+        self._record = record
+        self._gate = gate
+        self._chooser = chooser
+        self._quota = quota
+        self._budget = budget
+        self._crash_marks = crash_marks
+        self._config = config
+        self._log = log
+        self._pool = LinkPool(self)
+        self._jobs: dict[Link, dict[int, GateJob]] = {}
+        self._heard: dict[str, float] = {}
+        self._demand: dict[str, float] = {}
+        self._published_at = time.monotonic()
+        self.is_leaving = False
+        chooser.update(record)
+
+    @property
+    def record(self) -> HostRecord:
+        """Return what this host says of itself."""
+        return self._record
+
+    @property
+    def peers(self) -> int:
+        """Return the number of other hosts."""
+        return len(self._chooser.views) - 1
+
+    def link_of(self, host: str) -> Link | None:
+        """Return the open link to a host."""
+        return self._pool.get(host)
+
+    def change_own(self, record: HostRecord) -> None:
+        """Change what this host says of itself, and tell the peers."""
+        self._record = record
+        self._chooser.update(record)
+        self.broadcast()
+
+    def learn(self, record: HostRecord) -> None:
+        """Take in a host from the log or from a peer."""
+        if record.name == self._record.name:
+            return
+        view = self._chooser.views.get(record.name)
+        if view is None:
+            self._log.event(
+                'host_learned',
+                peer=record.name,
+                domain=record.domain,
+                service=record.service,
+            )
+            self._chooser.update(record)
+            self._quota.expect(record.name, time.monotonic())
+            self._heard[record.name] = time.monotonic()
+            self._budget.set_hosts(len(self._chooser.views))
+        elif time.monotonic() - view.heard_at > SILENCE_S:
+            self._chooser.update(record)
+        self._pool.want(record.name, record.address)
+
+    def forget(self, host: str) -> None:
+        """Drop a host that has left for good."""
+        if host == self._record.name or host not in self._chooser.views:
+            return
+        self._chooser.remove(host)
+        self._quota.forget(host, time.monotonic())
+        self._heard.pop(host, None)
+        self._pool.forget(host)
+        self._budget.set_hosts(len(self._chooser.views))
+        self._log.event('host_left', peer=host)
+
+    def silent(self, longer_than_s: float) -> list[str]:
+        """Return the hosts that were not heard for some time."""
+        oldest = time.monotonic() - longer_than_s
+        return [name for name, at in self._heard.items() if at < oldest]
+
+    def publish(self) -> None:
+        """Tell the peers the state and the demand of this host."""
+        now = time.monotonic()
+        period_s = max(0.1, now - self._published_at)
+        self._published_at = now
+        self._demand = self._quota.publish(period_s, now)
+        self.broadcast()
+        for host, heard_at in self._heard.items():
+            if now - heard_at > SILENCE_S:
+                self._quota.lose(host, now)
+
+    def broadcast(self) -> None:
+        """Send the state to all peers."""
+        status = self._status()
+        for link in self._pool.open_links():
+            link.send(status)
+
+    def check_links(self) -> None:
+        """Look for links that have gone silent."""
+        self._pool.check(time.monotonic())
+
+    def report_crash(self, digest: int, target_id: str) -> None:
+        """Tell the fleet that a request has crashed the target."""
+        self._log.event(
+            'target_crashed', target=target_id, digest=f'{digest:x}'
+        )
+        report = CrashReport(digest, target_id)
+        self._crash_marks.add(digest, target_id, time.monotonic())
+        for link in self._pool.open_links():
+            link.send(report)
+
+    def stop(self) -> None:
+        """Close all links."""
+        self._pool.stop()
+        for link in list(self._jobs):
+            link.close()
+
+    def link_opened(self, link: Link) -> None:
+        """Introduce this host on a link of its own."""
+        if not link.peer:
+            self._jobs[link] = {}
+            return
+        view = self._chooser.views.get(link.peer)
+        if view is not None:
+            view.is_linked = True
+        self._log.event('link_opened', peer=link.peer)
+        link.send(self._status())
+
+    def link_closed(self, link: Link) -> None:
+        """Stop the requests of a peer that cannot get their outcome."""
+        if not link.peer:
+            for job in self._jobs.pop(link, {}).values():
+                self._gate.cancel(job)
+            return
+        view = self._chooser.views.get(link.peer)
+        if view is not None:
+            view.is_linked = False
+        self._log.event('link_lost', peer=link.peer)
+
+    def handle(self, link: Link, frame: Frame) -> None:
+        """Handle a frame of a peer."""
+        if isinstance(frame, Dispatch):
+            self._run(link, frame)
+        elif isinstance(frame, Cancel):
+            job = self._jobs.get(link, {}).pop(frame.correlation, None)
+            if job is not None:
+                self._gate.cancel(job)
+        elif isinstance(frame, Status):
+            self._hear(frame)
+        elif isinstance(frame, ConfigCopy):
+            if frame.version > self._config.version:
+                self._config.offer(frame.document, 'peer')
+        elif isinstance(frame, CrashReport):
+            self._crash_marks.add(
+                frame.digest, frame.target_id, time.monotonic()
+            )
+        elif isinstance(frame, Introduction):
+            for record in frame.hosts:
+                self.learn(record)
+
+    def _run(self, link: Link, frame: Dispatch) -> None:
+        jobs = self._jobs.get(link)
+        if jobs is None:
+            return
+
+        def reply(outcome: Outcome) -> None:
+            jobs.pop(frame.correlation, None)
+            link.send(outcome)
+
+        job = self._gate.submit(frame, reply)
+        if not job.is_done:
+            jobs[frame.correlation] = job
+
+    def _hear(self, status: Status) -> None:
+        record = status.host
+        now = time.monotonic()
+        if record.name not in self._chooser.views:
+            self.learn(record)
+            self._introduce(record.name, status.config_version)
+        view = self._chooser.update(record)
+        self._pool.want(record.name, record.address)
+        view.heard_at = now
+        view.is_leaving = status.is_leaving
+        view.running = status.running
+        view.waiting = status.waiting
+        view.limit = status.limit
+        view.reported_at = now
+        view.config_version = status.config_version
+        self._heard[record.name] = now
+        self._quota.hear(record.name, status.demand, now)
+        if status.config_version < self._config.version:
+            self._help(record, status.config_version, now)
+
+    def _introduce(self, host: str, config_version: int) -> None:
+        """Tell a host that has just started what it cannot know yet."""
+        if config_version >= 0:
+            return
+        link = self._pool.get(host)
+        if link is not None:
+            hosts = [view.record for view in self._chooser.views.values()]
+            link.send(Introduction(hosts))
+
+    def _help(self, record: HostRecord, version: int, now: float) -> None:
+        is_near = record.domain == self._record.domain
+        lag_s = _LAG_S if is_near else 2 * _LAG_S
+        link = self._pool.get(record.name)
+        if link is None or now - self._config.applied_at < lag_s:
+            return
+        link.send(ConfigCopy(self._config.version, self._config.document))
+        if version < 0:
+            self._introduce(record.name, version)
+
+    def _status(self) -> Status:
+        gate = self._gate
+        return Status(
+            self._record,
+            self._config.version,
+            self._demand,
+            gate.running,
+            gate.waiting,
+            gate.limit,
+            self.is_leaving,
+            gate.target.cold_s if gate.target else 0.0,
+        )
+
+
+class HostDirectory:
+    """The hosts' records in the platform's log.
+
+    Args:
+        log_service: The platform's log.
+        members: Hosts of the fleet.
+        log: Decision log.
+    """
+
+    def __init__(
+        self, log_service: LogService, members: Members, log: DecisionLog
+    ) -> None:
+        self._log_service = log_service
+        self._members = members
+        self._log = log
+        self._stored = b''
+
+    async def load(
+        self, on_own: Callable[[HostRecord], None] = lambda record: None
+    ) -> None:
+        """Read all records.
+
+        Args:
+            on_own: Told what this host said of itself before.
+
+        Raises:
+            LogServiceError: They could not be read.
+        """
+        page = await self._log_service.newest(Stream.HOSTS)
+        own = self._members.record.name
+        for item in page.records:
+            try:
+                record = decode_record(item.value)
+            except ProtocolError as error:
+                self._log.event(
+                    'host_record_skipped', peer=item.key, error=str(error)
+                )
+                continue
+            if record.name == own:
+                self._stored = item.value
+                on_own(record)
+            else:
+                self._members.learn(record)
+        self._forget_missing({item.key for item in page.records})
+
+    async def store(self) -> bool:
+        """Write what this host says of itself, if it has changed.
+
+        Returns:
+            Whether the log holds the present record.
+        """
+        record = self._members.record
+        value = encode_record(record)
+        if value == self._stored:
+            return True
+        try:
+            await self._log_service.append(
+                Stream.HOSTS, KeyedRecord(record.name, value)
+            )
+        except LogServiceError as error:
+            self._log.event('host_record_not_stored', error=str(error))
+            return False
+        self._stored = value
+        return True
+
+    async def withdraw(self) -> None:
+        """Remove this host's record.
+
+        Raises:
+            LogServiceError: It may still be there.
+        """
+        await self._log_service.append(
+            Stream.HOSTS, KeyedRecord(self._members.record.name, b'')
+        )
+
+    def _forget_missing(self, present: set[str]) -> None:
+        """Drop hosts whose record is gone and that are not heard."""
+        for name in self._members.silent(3 * SILENCE_S):
+            if name not in present:
+                self._members.forget(name)
--- /dev/null
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the request path, without input or output."""
--- /dev/null
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/retry_budget.py
@@ -0,0 +1,58 @@
+"""Bounds what the fleet sends to a service beyond first attempts."""
+
+import dataclasses
+
+# Part of the allowed ratio that one level of a call chain may use: a call
+# made by a repeated run counts as a repeat at the service it calls, so the
+# levels of a chain add up.
+_LEVEL_SHARE = 0.3
+# Part of the fleet's slack that is handed out; hosts that start anew begin
+# with a full share again.
+_SLACK_SHARE = 0.4
+
+
+@dataclasses.dataclass(slots=True)
+class _Balance:
+    tokens: float
+
+
+class RetryBudget:
+    """Repeats by service, paid for by first attempts from this host.
+
+    Args:
+        ratio: Repeats for each request that the fleet may make.
+        window_s: Window in which repeats are counted.
+        slack: Repeats in a window that the fleet may make besides.
+    """
+
+    def __init__(
+        self, *, ratio: float, window_s: float, slack: float
+    ) -> None:
+        self._ratio = ratio * _LEVEL_SHARE
+        self._slack = slack * _SLACK_SHARE
+        self._window_s = window_s
+        self._hosts = 1
+        self._balances: dict[str, _Balance] = {}
+
+    def set_hosts(self, hosts: int) -> None:
+        """Divide the slack between this number of hosts."""
+        self._hosts = max(1, hosts)
+
+    def first_attempt(self, service: str) -> None:
+        """Count a request that is sent for the first time."""
+        balance = self._balances.get(service)
+        if balance is None:
+            balance = _Balance(self._cap())
+            self._balances[service] = balance
+        balance.tokens = min(self._cap(), balance.tokens + self._ratio)
+
+    def take(self, service: str) -> bool:
+        """Take one repeat, and return whether there was one."""
+        balance = self._balances.get(service)
+        if balance is None or balance.tokens < 1.0:
+            return False
+        balance.tokens -= 1.0
+        return True
+
+    def _cap(self) -> float:
+        return max(2.0, self._slack / self._hosts)
--- /dev/null
+++ b/packages/dataplane/src/turmericrouter_dataplane/timers.py
@@ -0,0 +1,95 @@
+"""Timer service with one wake-up for many deadlines."""
+
+import asyncio
+from collections.abc import Callable
+import heapq
+import itertools
+import time
+
+# Deadlines are met up to one tick late, which saves a timer a request.
+TICK_S = 0.02
+
+
+class Deadline:
+    """A callback at a point in time; cancelling it costs nothing."""
+
+    __slots__ = ('callback',)
+
+    def __init__(self, callback: Callable[[], None] | None) -> None:
+        self.callback = callback
+
+    def cancel(self) -> None:
+        """Forget the callback."""
+        self.callback = None
+
+
+class TimerService:
+    """Calls subscribers back, at a deadline or periodically.
+
+    Args:
+        on_error: Told the name and the error of a failing subscriber.
+    """
+
+    def __init__(self, on_error: Callable[[str, Exception], None]) -> None:
+        self._on_error = on_error
+        self._loop = asyncio.get_running_loop()
+        self._heap: list[tuple[float, int, Deadline]] = []
+        self._order = itertools.count()
+        self._handle: asyncio.TimerHandle | None = None
+        self._stopped = False
+
+    @staticmethod
+    def now() -> float:
+        """Return monotonic seconds."""
+        return time.monotonic()
+
+    def at(self, when: float, callback: Callable[[], None]) -> Deadline:
+        """Call back once, up to a tick after a monotonic time."""
+        deadline = Deadline(callback)
+        heapq.heappush(self._heap, (when, next(self._order), deadline))
+        if self._handle is None:
+            self._arm()
+        return deadline
+
+    def every(
+        self, period_s: float, callback: Callable[[], None], *, name: str
+    ) -> Deadline:
+        """Call back periodically until the subscription is cancelled."""
+        subscription = Deadline(callback)
+
+        def repeat() -> None:
+            if subscription.callback is None or self._stopped:
+                return
+            try:
+                subscription.callback()
+            except Exception as error:
+                self._on_error(name, error)
+            self.at(self.now() + period_s, repeat)
+
+        self.at(self.now() + period_s, repeat)
+        return subscription
+
+    def stop(self) -> None:
+        """Make no more calls."""
+        self._stopped = True
+        if self._handle is not None:
+            self._handle.cancel()
+
+    def _arm(self) -> None:
+        if not self._stopped:
+            self._handle = self._loop.call_later(TICK_S, self._tick)
+
+    def _tick(self) -> None:
+        self._handle = None
+        heap = self._heap
+        now = self.now()
+        while heap and heap[0][0] <= now:
+            callback = heapq.heappop(heap)[2].callback
+            if callback is None:
+                continue
+            try:
+                callback()
+            except Exception as error:
+                self._on_error('deadline', error)
+        if heap:
+            self._arm()
