--- a/packages/dataplane/src/turmericrouter_dataplane/dispatcher.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/dispatcher.py
@@ -177,7 +177,11 @@
             wait_s = self._quota.admit(workspace.name, now)
             if wait_s:
                 self._refuse_early(
-                    request, Reason.QUOTA_EXCEEDED, request_id, wait_s
+                    request,
+                    Reason.QUOTA_EXCEEDED,
+                    request_id,
+                    wait_s,
+                    workspace.name,
                 )
                 return
         call = self._make_call(
@@ -443,6 +447,7 @@
         reason: Reason,
         request_id: bytes = b'',
         wait_s: float = 0.0,
+        workspace: str = '',
     ) -> None:
         status = _STATUS_OF_REASON.get(reason, 503)
         self._respond(request, status, reason, wait_s)
@@ -453,9 +458,11 @@
                 'request_refused',
                 request_id=request_id.decode('latin-1'),
                 path=request.target.decode('latin-1'),
+                workspace=workspace,
                 status=status,
                 reason=reason.value,
                 config_version=table.version if table else -1,
+                **self._quota.describe(workspace),
             )
 
     def _respond(
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/workspace_quota.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/workspace_quota.py
@@ -160,6 +160,24 @@
             for name in self._limits:
                 self._divide(name, now)
 
+    def describe(self, workspace: str) -> dict[str, float]:
+        """Return what a refusal was decided by, for its log line."""
+        bucket = self._buckets.get(workspace)
+        if bucket is None:
+            return {}
+        rate, burst = self._limits[workspace]
+        heard = [p for p in self._peers.values() if p.is_reachable]
+        total = sum(p.demand.get(workspace, 0.0) for p in heard)
+        return {
+            'rate_per_s': rate,
+            'burst': burst,
+            'own_rate_per_s': round(bucket.rate_per_s, 2),
+            'own_burst': round(bucket.burst, 1),
+            'own_demand_per_s': bucket.published_per_s,
+            'fleet_demand_per_s': round(total + bucket.published_per_s, 1),
+            'hosts_heard': len(heard) + 1,
+        }
+
     def share(self, workspace: str) -> float:
         """Return this host's share of a workspace's limit, from 0 to 1."""
         bucket = self._buckets.get(workspace)
