--- a/packages/dataplane/src/turmericrouter_dataplane/announcements.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/announcements.py
@@ -46,15 +46,12 @@
             if target.born and held.born and target.born < held.born:
                 return
             is_same = (
-                target.target_id == held.target_id
-                and target.born == held.born
+                target.target_id == held.target_id and target.born == held.born
             )
             if is_same and target.sequence <= held.sequence:
                 return
             if is_same and held.state is TargetState.LEAVING:
-                target = dataclasses.replace(
-                    target, state=TargetState.LEAVING
-                )
+                target = dataclasses.replace(target, state=TargetState.LEAVING)
         self._accept(target)
 
     def depart(self, departure: Departure) -> None:
@@ -63,9 +60,7 @@
         if held is None or held.target_id != departure.target_id:
             return
         if held.state is not TargetState.LEAVING:
-            self._accept(
-                dataclasses.replace(held, state=TargetState.LEAVING)
-            )
+            self._accept(dataclasses.replace(held, state=TargetState.LEAVING))
 
     def _accept(self, target: LocalTarget) -> None:
         before, self._target = self._target, target
--- a/packages/dataplane/src/turmericrouter_dataplane/application.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/application.py
@@ -9,7 +9,6 @@
 from typing import Protocol
 
 from turmericrouter_core.errors import LogServiceError
-
 from turmericrouter_dataplane.announcements import Announcements
 from turmericrouter_dataplane.announcements import Departure
 from turmericrouter_dataplane.config_feed import ConfigDecoder
@@ -31,6 +30,9 @@
 from turmericrouter_dataplane.members import STATUS_PERIOD_S
 from turmericrouter_dataplane.metrics import Metrics
 from turmericrouter_dataplane.model import FleetConfig
+from turmericrouter_dataplane.policy.admission_pressure import (
+    AdmissionPressure,
+)
 from turmericrouter_dataplane.policy.crash_marks import CrashMarks
 from turmericrouter_dataplane.policy.retry_budget import RetryBudget
 from turmericrouter_dataplane.policy.target_chooser import TargetChooser
@@ -39,6 +41,7 @@
 from turmericrouter_dataplane.settings import Address
 from turmericrouter_dataplane.settings import Settings
 from turmericrouter_dataplane.timers import TimerService
+from turmericrouter_dataplane.token_exchange import TokenExchange
 
 _LINK_CHECK_S = 0.2
 _LOG_FLUSH_S = 0.25
@@ -91,6 +94,13 @@
     ) -> LocalTarget | Departure | Ignored:
         """Read what a target says of itself."""
 
+    def parent_of(self, request_id: bytes) -> bytes:
+        """Return the id of the request that makes a nested call.
+
+        Returns:
+            Nothing if the id of the call does not say.
+        """
+
     def log_service(self, address: Address) -> LogService:
         """Return a client of the platform's log."""
 
@@ -181,6 +191,13 @@
         self._directory = HostDirectory(
             self._log_service, self._members, self._log
         )
+        self._exchange = TokenExchange(
+            self._quota,
+            self._timers,
+            self._members.links_by_distance,
+            self._rng,
+        )
+        self._members.on_grant = self._exchange.grant
         self._dispatcher = self._make_dispatcher()
         self._announcements = Announcements(self._target_changed, self._log)
         self._callers = HttpServer(self._dispatcher, self._bad_request)
@@ -251,6 +268,9 @@
             quota=self._quota,
             budget=self._budget,
             crash_marks=self._crash_marks,
+            pressure=AdmissionPressure(),
+            exchange=self._exchange,
+            parent_of=self._deployment.parent_of,
             timers=self._timers,
             log=self._log,
             metrics=self._metrics,
@@ -378,9 +398,7 @@
 
     def _target_changed(self, target: LocalTarget) -> None:
         self._gate.set_target(target)
-        self._members.change_own(
-            _with_target(self._members.record, target)
-        )
+        self._members.change_own(_with_target(self._members.record, target))
         self._target_known.set()
         self._record_changed.set()
 
--- a/packages/dataplane/src/turmericrouter_dataplane/call.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/call.py
@@ -23,8 +23,8 @@
     __slots__ = (
         'arrived_at', 'attempt', 'correlation', 'deadline', 'digest',
         'expires_at', 'head', 'host', 'is_counted', 'is_done',
-        'is_nested', 'job', 'last_reason', 'link', 'may_have_run', 'rank',
-        'request', 'request_id', 'route', 'sends', 'service', 'tried',
+        'is_nested', 'job', 'last_reason', 'link', 'may_have_run', 'parent',
+        'rank', 'request', 'request_id', 'route', 'sends', 'service', 'tried',
         'workspace',
     )  # fmt: skip
 
@@ -46,6 +46,7 @@
         self.expires_at = expires_at
         self.rank = 0
         self.is_nested = False
+        self.parent = b''
         self.service = ''
         self.head = b''
         self.digest = 0
--- a/packages/dataplane/src/turmericrouter_dataplane/config_feed.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/config_feed.py
@@ -7,7 +7,6 @@
 
 from turmericrouter_core.errors import ConfigError
 from turmericrouter_core.errors import LogServiceError
-
 from turmericrouter_dataplane.decision_log import DecisionLog
 from turmericrouter_dataplane.log_service import HistoryLostError
 from turmericrouter_dataplane.log_service import LogService
--- a/packages/dataplane/src/turmericrouter_dataplane/decision_log.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/decision_log.py
@@ -2,6 +2,7 @@
 
 import os
 import time
+from typing import Any
 
 import structlog
 
@@ -42,7 +43,7 @@
         self._write({'time': round(time.time(), 3), 'event': event, **fields})
 
     def decision(
-        self, event: str, budget: int = REFUSAL_LINES_PER_S, **fields: object
+        self, event: str, *, budget: int = REFUSAL_LINES_PER_S, **fields: Any
     ) -> None:
         """Write a line on a request, within the budget of its kind."""
         left = self._left.get(event, budget)
--- a/packages/dataplane/src/turmericrouter_dataplane/dispatcher.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/dispatcher.py
@@ -2,11 +2,12 @@
 
 from collections.abc import Callable
 import random
+from typing import Any
 
-from turmericrouter_core.verdict import Reason
-from turmericrouter_core.verdict import Verdict
 import xxhash
 
+from turmericrouter_core.verdict import Reason
+from turmericrouter_core.verdict import Verdict
 from turmericrouter_dataplane.call import Call
 from turmericrouter_dataplane.decision_log import DecisionLog
 from turmericrouter_dataplane.decision_log import REFUSAL_LINES_PER_S
@@ -22,6 +23,9 @@
 from turmericrouter_dataplane.model import FleetConfig
 from turmericrouter_dataplane.model import Route
 from turmericrouter_dataplane.model import Workspace
+from turmericrouter_dataplane.policy.admission_pressure import (
+    AdmissionPressure,
+)
 from turmericrouter_dataplane.policy.crash_marks import CrashMarks
 from turmericrouter_dataplane.policy.gate_queue import RANKS
 from turmericrouter_dataplane.policy.retry_budget import RetryBudget
@@ -29,6 +33,7 @@
 from turmericrouter_dataplane.policy.target_chooser import TargetChooser
 from turmericrouter_dataplane.policy.workspace_quota import WorkspaceQuota
 from turmericrouter_dataplane.timers import TimerService
+from turmericrouter_dataplane.token_exchange import TokenExchange
 
 # The answer of a target at its deadline is waited for this long.
 _ANSWER_GRACE_S = 0.06
@@ -85,6 +90,10 @@
         quota: Allowances of workspaces.
         budget: Bounds repeats.
         crash_marks: Requests that crash targets.
+        pressure: Load of the chains behind routes.
+        exchange: Gets tokens from other hosts.
+        parent_of: Returns the id of the request that makes a nested call,
+            empty if its id does not say.
         timers: Timer service.
         log: Decision log.
         metrics: Counters.
@@ -103,6 +112,9 @@
         quota: WorkspaceQuota,
         budget: RetryBudget,
         crash_marks: CrashMarks,
+        pressure: AdmissionPressure,
+        exchange: TokenExchange,
+        parent_of: Callable[[bytes], bytes],
         timers: TimerService,
         log: DecisionLog,
         metrics: Metrics,
@@ -115,6 +127,9 @@
         self._quota = quota
         self._budget = budget
         self._crash_marks = crash_marks
+        self._pressure = pressure
+        self._exchange = exchange
+        self._parent_of = parent_of
         self._timers = timers
         self._log = log
         self._metrics = metrics
@@ -172,26 +187,32 @@
             )
             self._refuse_early(request, reason, request_id)
             return
-        now = self._timers.now()
-        if workspace is not None:
-            wait_s = self._quota.admit(workspace.name, now)
-            if wait_s:
-                self._refuse_early(
-                    request,
-                    Reason.QUOTA_EXCEEDED,
-                    request_id,
-                    wait_s,
-                    workspace.name,
-                )
-                return
         call = self._make_call(
-            request, route, workspace, request_id, deadline, now
+            request,
+            route,
+            workspace,
+            request_id,
+            deadline,
+            self._timers.now(),
         )
-        if self._crash_marks.is_blocked(call.digest, now):
-            self._refuse_early(request, Reason.QUARANTINED, request_id)
+        if self._is_refused(call):
+            return
+        if workspace is None:
+            self._begin(call)
             return
-        call.service = table.pick_service(route)
-        self._begin(call)
+        wait_s = self._quota.admit(workspace.name, call.arrived_at)
+        if not wait_s:
+            self._begin(call)
+            return
+
+        def resume(is_admitted: bool) -> None:
+            if is_admitted:
+                self._begin(call)
+            else:
+                self._refuse_quota(call, wait_s)
+
+        if not self._exchange.wait(workspace.name, resume):
+            self._refuse_quota(call, wait_s)
 
     def abandon(self, request: HttpRequest) -> None:
         """Stop a request whose caller has gone, unless it must not stop."""
@@ -199,9 +220,50 @@
         if not isinstance(call, Call) or call.is_done:
             return
         self._metrics.count('requests_abandoned')
+        if not call.attempt:
+            # It still waits for a token.
+            call.is_done = True
+            return
         self._give_up(call)
         self._close(call)
 
+    def _is_refused(self, call: Call) -> bool:
+        """Refuse a request that would be refused further on."""
+        now = call.arrived_at
+        if self._crash_marks.is_blocked(call.digest, now):
+            self._refuse_early(
+                call.request, Reason.QUARANTINED, call.request_id
+            )
+            return True
+        if call.is_nested or self._pressure.admits(
+            call.route.name, call.rank - 1, now, self._rng.random()
+        ):
+            return False
+        if call.workspace:
+            self._quota.count(call.workspace)
+        self._refuse_early(
+            call.request,
+            Reason.SHED_AT_ENTRY,
+            call.request_id,
+            route=call.route.name,
+            rank=call.rank,
+            load=round(self._pressure.load(call.route.name, now), 2),
+        )
+        return True
+
+    def _refuse_quota(self, call: Call, wait_s: float) -> None:
+        if call.is_done:
+            return
+        call.is_done = True
+        self._refuse_early(
+            call.request,
+            Reason.QUOTA_EXCEEDED,
+            call.request_id,
+            wait_s,
+            workspace=call.workspace,
+            **self._quota.describe(call.workspace),
+        )
+
     def _workspace(
         self, table: RouteTable, authorization: bytes
     ) -> Workspace | None:
@@ -235,6 +297,8 @@
             level = min(workspace.priority, _LEVELS - 1) * _LEVELS
             level += min(route.priority, _LEVELS - 1)
             call.rank = min(1 + level, RANKS - 1)
+        else:
+            call.parent = self._parent_of(request_id)
         call.head = self._head(call)
         digest = xxhash.xxh3_64_intdigest(
             request.method + request.target + request.body
@@ -263,13 +327,19 @@
         lines.append(self._caller_line)
         if call.workspace:
             lines.append(
-                b'%b: %b\r\n' % (self._names.workspace, call.workspace.encode())
+                b'%b: %b\r\n'
+                % (self._names.workspace, call.workspace.encode())
             )
         if request.has_body:
             lines.append(b'Content-Length: %d\r\n' % len(request.body))
         return b''.join(lines)
 
     def _begin(self, call: Call) -> None:
+        if call.is_done:
+            return
+        table = self._table
+        assert table is not None
+        call.service = table.pick_service(call.route)
         self.in_flight += 1
         self._budget.first_attempt(call.service)
         call.deadline = self._timers.at(
@@ -313,9 +383,7 @@
         call.correlation = link.next_correlation()
         link.dispatch(self._frame(call, call.correlation, target_id), reply)
 
-    def _frame(
-        self, call: Call, correlation: int, target_id: str
-    ) -> Dispatch:
+    def _frame(self, call: Call, correlation: int, target_id: str) -> Dispatch:
         route = call.route
         share = _NESTED_PATIENCE_SHARE if call.is_nested else _PATIENCE_SHARE
         now = self._timers.now()
@@ -344,6 +412,8 @@
             view.waiting = outcome.waiting
             view.limit = outcome.limit
             view.reported_at = now
+        if outcome.limit:
+            self._note_load(call, outcome.peak_load, now)
         self._chooser.finish(call.host, outcome.reason, now)
         if outcome.verdict is Verdict.RAN:
             self._answer(call, outcome, now)
@@ -374,6 +444,15 @@
             return
         self._refuse(call, outcome.reason)
 
+    def _note_load(self, call: Call, load: float, now: float) -> None:
+        """Pass the load on to where the chain began."""
+        if not call.is_nested:
+            self._pressure.report(call.route.name, load, now)
+            return
+        parent = self._gate.find(call.parent) if call.parent else None
+        if parent is not None and load > parent.peak_load:
+            parent.peak_load = load
+
     def _may_retry(self, call: Call, outcome: Outcome, now: float) -> bool:
         if now >= call.expires_at or not call.request.connection.is_open:
             return False
@@ -400,7 +479,7 @@
         if self._log.may_write('request_served', ROUTINE_LINES_PER_S):
             self._log.decision(
                 'request_served',
-                ROUTINE_LINES_PER_S,
+                budget=ROUTINE_LINES_PER_S,
                 request_id=call.request_id.decode('latin-1'),
                 route=call.route.name,
                 service=call.service,
@@ -447,7 +526,7 @@
         reason: Reason,
         request_id: bytes = b'',
         wait_s: float = 0.0,
-        workspace: str = '',
+        **inputs: Any,
     ) -> None:
         status = _STATUS_OF_REASON.get(reason, 503)
         self._respond(request, status, reason, wait_s)
@@ -458,11 +537,10 @@
                 'request_refused',
                 request_id=request_id.decode('latin-1'),
                 path=request.target.decode('latin-1'),
-                workspace=workspace,
                 status=status,
                 reason=reason.value,
                 config_version=table.version if table else -1,
-                **self._quota.describe(workspace),
+                **inputs,
             )
 
     def _respond(
--- a/packages/dataplane/src/turmericrouter_dataplane/frames.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/frames.py
@@ -109,6 +109,8 @@
         limit: Requests that the gate lets run at once.
         was_sent: Whether the request reached the target, even if the
             target did not run it.
+        peak_load: Highest load that the request and its nested calls met,
+            as requests over the limit of a gate.
     """
 
     correlation: int
@@ -121,6 +123,7 @@
     waiting: int = 0
     limit: int = 0
     was_sent: bool = False
+    peak_load: float = 0.0
 
 
 class Cancel(msgspec.Struct, frozen=True, array_like=True, tag=4):
@@ -149,6 +152,20 @@
     target_id: str
 
 
+class TokenRequest(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """Asks for spare tokens of a workspace."""
+
+    workspace: str
+    wanted: int
+
+
+class TokenGrant(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """Tokens that the sender gives away, possibly none."""
+
+    workspace: str
+    tokens: int
+
+
 class Introduction(msgspec.Struct, frozen=True, array_like=True, tag=8):
     """Hosts that the sender knows, for one that has just started."""
 
@@ -164,6 +181,8 @@
     | Probe
     | CrashReport
     | Introduction
+    | TokenRequest
+    | TokenGrant
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/dataplane/src/turmericrouter_dataplane/gate.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate.py
@@ -72,8 +72,8 @@
 class GateJob:
     """One request at the gate."""
 
-    __slots__ = ('connection', 'deadline', 'frame', 'patience', 'phase',
-                 'received_at', 'reply')  # fmt: skip
+    __slots__ = ('connection', 'deadline', 'frame', 'patience', 'peak_load',
+                 'phase', 'received_at', 'reply')  # fmt: skip
 
     def __init__(
         self, frame: Dispatch, reply: ReplyCallback, received_at: float
@@ -85,6 +85,7 @@
         self.connection: HttpClientConnection | None = None
         self.deadline: Deadline | None = None
         self.patience: Deadline | None = None
+        self.peak_load = 0.0
 
     @property
     def is_done(self) -> bool:
@@ -126,7 +127,7 @@
         self._target: LocalTarget | None = None
         self._is_reachable = True
         self._queue: GateQueue[GateJob] = GateQueue(64)
-        self._jobs: set[GateJob] = set()
+        self._jobs: dict[bytes, GateJob] = {}
         self._running = 0
         self._idle: list[HttpClientConnection] = []
         self._connections: set[HttpClientConnection] = set()
@@ -157,6 +158,17 @@
         """Return how many requests may run at once."""
         return self._limit
 
+    @property
+    def load(self) -> float:
+        """Return the requests here over the number that may run."""
+        if not self._limit:
+            return 0.0
+        return (self._running + len(self._queue)) / self._limit
+
+    def find(self, request_id: bytes) -> GateJob | None:
+        """Return the request with an id, if it is here."""
+        return self._jobs.get(request_id)
+
     @property
     def is_idle(self) -> bool:
         """Return whether no request is here."""
@@ -182,7 +194,8 @@
     def submit(self, frame: Dispatch, reply: ReplyCallback) -> 'GateJob':
         """Run a request, now or when there is a slot."""
         job = GateJob(frame, reply, self._timers.now())
-        self._jobs.add(job)
+        self._jobs[frame.request_id] = job
+        job.peak_load = self.load
         target = self._target
         if target is None or not self._is_reachable:
             self._refuse(job, Reason.TARGET_UNREACHABLE)
@@ -407,6 +420,7 @@
                 len(self._queue),
                 self._limit,
                 True,
+                job.peak_load,
             ),
         )
 
@@ -465,6 +479,7 @@
                 waiting=len(self._queue),
                 limit=self._limit,
                 was_sent=sent,
+                peak_load=job.peak_load,
             ),
         )
 
@@ -476,7 +491,8 @@
     def _end(self, job: GateJob) -> None:
         """Free what a request holds, and start the next one."""
         phase, job.phase = job.phase, _Phase.DONE
-        self._jobs.discard(job)
+        if self._jobs.get(job.frame.request_id) is job:
+            del self._jobs[job.frame.request_id]
         if job.deadline is not None:
             job.deadline.cancel()
         if job.patience is not None:
--- a/packages/dataplane/src/turmericrouter_dataplane/http_client.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/http_client.py
@@ -338,17 +338,17 @@
             future: asyncio.Future[HttpAnswer | Failure] = (
                 asyncio.get_running_loop().create_future()
             )
-            head = (
-                f'{method} {path} HTTP/1.1\r\nHost: {self._ip}:{self._port}\r\n'
-            )
+            head = f'{method} {path} HTTP/1.1\r\nHost: {self._ip}:{self._port}\r\n'
             if method != 'GET':
                 head += f'Content-Length: {len(body)}\r\n'
                 if body.startswith(b'{'):
                     head += 'Content-Type: application/json\r\n'
-            connection.send(
-                head.encode() + b'\r\n' + body,
-                lambda result: future.done() or future.set_result(result),
-            )
+
+            def complete(result: HttpAnswer | Failure) -> None:
+                if not future.done():
+                    future.set_result(result)
+
+            connection.send(head.encode() + b'\r\n' + body, complete)
             try:
                 result = await future
             except BaseException:
--- a/packages/dataplane/src/turmericrouter_dataplane/http_server.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/http_server.py
@@ -12,7 +12,8 @@
 from turmericrouter_dataplane.model import CallerLimits
 
 STATUS_LINES = {
-    status.value: b'HTTP/1.1 %d %s\r\n' % (status.value, status.phrase.encode())
+    status.value: b'HTTP/1.1 %d %s\r\n'
+    % (status.value, status.phrase.encode())
     for status in http.HTTPStatus
 }
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -191,9 +192,7 @@
         self._current = request
         self._handler.handle(request)
 
-    def respond(
-        self, request: HttpRequest, head: bytes, body: bytes
-    ) -> bool:
+    def respond(self, request: HttpRequest, head: bytes, body: bytes) -> bool:
         """Answer the request that is being served.
 
         Args:
--- a/packages/dataplane/src/turmericrouter_dataplane/log_service.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/log_service.py
@@ -8,9 +8,7 @@
 
 
 class Stream(enum.Enum):
-    """Streams of the log that the daemon uses; the newest record of each
-    key is kept.
-    """
+    """Streams that the daemon uses; the newest record of a key is kept."""
 
     CONFIGURATION = 'configuration'
     HOSTS = 'hosts'
--- a/packages/dataplane/src/turmericrouter_dataplane/members.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/members.py
@@ -18,6 +18,8 @@
 from turmericrouter_dataplane.frames import Introduction
 from turmericrouter_dataplane.frames import Outcome
 from turmericrouter_dataplane.frames import Status
+from turmericrouter_dataplane.frames import TokenGrant
+from turmericrouter_dataplane.frames import TokenRequest
 from turmericrouter_dataplane.gate import Gate
 from turmericrouter_dataplane.gate import GateJob
 from turmericrouter_dataplane.links import Link
@@ -78,6 +80,7 @@
         self._demand: dict[str, float] = {}
         self._published_at = time.monotonic()
         self.is_leaving = False
+        self.on_grant: Callable[[str, int], None] = lambda name, tokens: None
         chooser.update(record)
 
     @property
@@ -94,6 +97,18 @@
         """Return the open link to a host."""
         return self._pool.get(host)
 
+    def links_by_distance(self) -> tuple[list[Link], list[Link]]:
+        """Return the open links inside the own failure domain, and others."""
+        near: list[Link] = []
+        far: list[Link] = []
+        for link in self._pool.open_links():
+            view = self._chooser.views.get(link.peer)
+            if view is None:
+                continue
+            is_near = view.record.domain == self._record.domain
+            (near if is_near else far).append(link)
+        return near, far
+
     def change_own(self, record: HostRecord) -> None:
         """Change what this host says of itself, and tell the peers."""
         self._record = record
@@ -212,6 +227,12 @@
             self._crash_marks.add(
                 frame.digest, frame.target_id, time.monotonic()
             )
+        elif isinstance(frame, TokenRequest):
+            now = time.monotonic()
+            tokens = self._quota.lend(frame.workspace, frame.wanted, now)
+            link.send(TokenGrant(frame.workspace, tokens))
+        elif isinstance(frame, TokenGrant):
+            self.on_grant(frame.workspace, frame.tokens)
         elif isinstance(frame, Introduction):
             for record in frame.hosts:
                 self.learn(record)
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/crash_marks.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/crash_marks.py
@@ -1,8 +1,8 @@
 """Requests that crash the targets which run them."""
 
 # Crashes of one request that block it.
-_CRASHES = 2
-_LIFETIME_S = 120.0
+_CRASHES = 3
+_LIFETIME_S = 60.0
 _MAX_MARKS = 10_000
 
 
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/retry_budget.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/retry_budget.py
@@ -25,9 +25,7 @@
         slack: Repeats in a window that the fleet may make besides.
     """
 
-    def __init__(
-        self, *, ratio: float, window_s: float, slack: float
-    ) -> None:
+    def __init__(self, *, ratio: float, window_s: float, slack: float) -> None:
         self._ratio = ratio * _LEVEL_SHARE
         self._slack = slack * _SLACK_SHARE
         self._window_s = window_s
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/target_chooser.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/target_chooser.py
@@ -111,9 +111,7 @@
         rng: Source of random choices.
     """
 
-    def __init__(
-        self, own_host: str, domain: str, rng: random.Random
-    ) -> None:
+    def __init__(self, own_host: str, domain: str, rng: random.Random) -> None:
         self._own_host = own_host
         self._domain = domain
         self._rng = rng
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/workspace_quota.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/workspace_quota.py
@@ -90,11 +90,50 @@
         wait_s = missing / bucket.rate_per_s if bucket.rate_per_s else 1.0
         return min(_LONGEST_WAIT_S, max(_SHORTEST_WAIT_S, wait_s))
 
+    def count(self, workspace: str) -> None:
+        """Count a request that is refused for another reason."""
+        bucket = self._buckets.get(workspace)
+        if bucket is not None:
+            bucket.arrivals += 1
+
+    def take(self, workspace: str, now: float) -> bool:
+        """Take a token for a request that has been counted already."""
+        bucket = self._buckets.get(workspace)
+        if bucket is None:
+            return True
+        self._refill(bucket, now)
+        if bucket.tokens < 1.0:
+            return False
+        bucket.tokens -= 1.0
+        return True
+
+    def lend(self, workspace: str, wanted: int, now: float) -> int:
+        """Give tokens away, at most half of those that are here."""
+        bucket = self._buckets.get(workspace)
+        if bucket is None:
+            return 0
+        self._refill(bucket, now)
+        given = max(0, min(wanted, int(bucket.tokens / 2)))
+        bucket.tokens -= given
+        return given
+
+    def receive(self, workspace: str, tokens: int, now: float) -> None:
+        """Take in tokens that another host gave away."""
+        bucket = self._buckets.get(workspace)
+        if bucket is not None:
+            self._refill(bucket, now)
+            bucket.tokens += tokens
+
+    def demand(self, workspace: str) -> float:
+        """Return the requests a second that begin at this host."""
+        bucket = self._buckets.get(workspace)
+        return bucket.demand_per_s if bucket else 0.0
+
     def refund(self, workspace: str) -> None:
         """Give back the token of a request that did not run."""
         bucket = self._buckets.get(workspace)
         if bucket is not None:
-            bucket.tokens = min(bucket.burst, bucket.tokens + 1.0)
+            bucket.tokens += 1.0
 
     def publish(self, period_s: float, now: float) -> dict[str, float]:
         """Close a period and return the demand to tell the other hosts.
@@ -118,9 +157,7 @@
                 self._divide(name, now)
         return published
 
-    def hear(
-        self, peer: str, demand: Mapping[str, float], now: float
-    ) -> None:
+    def hear(self, peer: str, demand: Mapping[str, float], now: float) -> None:
         """Take in the demand that a host published."""
         held = self._peers.get(peer)
         before: Mapping[str, float] = {} if held is None else held.demand
@@ -219,5 +256,6 @@
 
     def _refill(self, bucket: _Bucket, now: float) -> None:
         earned = (now - bucket.as_of) * bucket.rate_per_s
-        bucket.tokens = min(bucket.burst, bucket.tokens + earned)
+        if bucket.tokens < bucket.burst:
+            bucket.tokens = min(bucket.burst, bucket.tokens + earned)
         bucket.as_of = now
