--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,11 @@
 # Commands of the repository; README.md explains them.
 VENV ?= .venv
 PYTHON := $(VENV)/bin/python
-SOURCES := packages tests
-PACKAGES := core client daemon operator standins
+SOURCES := packages platform tests
+PACKAGES := core client daemon operator standins dataplane
 empty :=
 space := $(empty) $(empty)
-export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src))
+export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src)):$(CURDIR)/platform
 export PATH := $(abspath $(VENV))/bin:$(PATH)
 SEED ?= 1
 SECONDS ?= 60
@@ -33,7 +33,7 @@
 	flake8 $(SOURCES)
 
 types: env
-	mypy packages/core/src packages/client/src packages/daemon/src packages/operator/src packages/standins/src
+	mypy packages/core/src packages/client/src packages/daemon/src packages/operator/src packages/standins/src packages/dataplane/src platform
 
 unit: env
 	$(PYTHON) -m pytest
--- a/packages/dataplane/src/turmericrouter_dataplane/dispatcher.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/dispatcher.py
@@ -166,17 +166,10 @@
         if table is None:
             self._refuse_early(request, Reason.CONFIG_STALE)
             return
-        hostname = request_id = authorization = deadline = b''
-        for lower, _, value in request.headers:
-            if lower == b'host':
-                hostname = value
-            elif lower == self._id_name:
-                request_id = value
-            elif lower == _AUTHORIZATION:
-                authorization = value
-            elif lower == self._deadline_name:
-                deadline = value
-        route = table.find(hostname, request.target)
+        values = {lower: value for lower, _, value in request.headers}
+        request_id = values.get(self._id_name, b'')
+        authorization = values.get(_AUTHORIZATION, b'')
+        route = table.find(values.get(b'host', b''), request.target)
         if route is None:
             self._refuse_early(request, Reason.ROUTE_UNKNOWN, request_id)
             return
@@ -192,14 +185,18 @@
             route,
             workspace,
             request_id,
-            deadline,
+            values.get(self._deadline_name, b''),
             self._timers.now(),
         )
         if self._is_refused(call):
             return
         if workspace is None:
             self._begin(call)
-            return
+        else:
+            self._admit(call, workspace)
+
+    def _admit(self, call: Call, workspace: Workspace) -> None:
+        """Begin a request once it has a token of its workspace."""
         wait_s = self._quota.admit(workspace.name, call.arrived_at)
         if not wait_s:
             self._begin(call)
@@ -301,7 +298,13 @@
             call.parent = self._parent_of(request_id)
         call.head = self._head(call)
         digest = xxhash.xxh3_64_intdigest(
-            request.method + request.target + request.body
+            b'%b %b %b %b'
+            % (
+                call.workspace.encode(),
+                request.method,
+                request.target,
+                request.body,
+            )
         )
         call.digest = digest & 0x7FFFFFFFFFFFFFFF
         return call
--- a/packages/dataplane/src/turmericrouter_dataplane/http_client.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/http_client.py
@@ -338,7 +338,8 @@
             future: asyncio.Future[HttpAnswer | Failure] = (
                 asyncio.get_running_loop().create_future()
             )
-            head = f'{method} {path} HTTP/1.1\r\nHost: {self._ip}:{self._port}\r\n'
+            host = f'{self._ip}:{self._port}'
+            head = f'{method} {path} HTTP/1.1\r\nHost: {host}\r\n'
             if method != 'GET':
                 head += f'Content-Length: {len(body)}\r\n'
                 if body.startswith(b'{'):
--- a/packages/dataplane/src/turmericrouter_dataplane/members.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/members.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import time
+from typing import Any
 
 from turmericrouter_core.errors import LogServiceError
 from turmericrouter_core.errors import ProtocolError
@@ -81,6 +82,16 @@
         self._published_at = time.monotonic()
         self.is_leaving = False
         self.on_grant: Callable[[str, int], None] = lambda name, tokens: None
+        self._handlers: dict[type, Callable[[Link, Any], None]] = {
+            Dispatch: self._run,
+            Cancel: self._cancel,
+            Status: self._hear,
+            ConfigCopy: self._copy_config,
+            CrashReport: self._mark_crash,
+            Introduction: self._meet,
+            TokenRequest: self._lend,
+            TokenGrant: self._take_grant,
+        }
         chooser.update(record)
 
     @property
@@ -212,30 +223,33 @@
 
     def handle(self, link: Link, frame: Frame) -> None:
         """Handle a frame of a peer."""
-        if isinstance(frame, Dispatch):
-            self._run(link, frame)
-        elif isinstance(frame, Cancel):
-            job = self._jobs.get(link, {}).pop(frame.correlation, None)
-            if job is not None:
-                self._gate.cancel(job)
-        elif isinstance(frame, Status):
-            self._hear(frame)
-        elif isinstance(frame, ConfigCopy):
-            if frame.version > self._config.version:
-                self._config.offer(frame.document, 'peer')
-        elif isinstance(frame, CrashReport):
-            self._crash_marks.add(
-                frame.digest, frame.target_id, time.monotonic()
-            )
-        elif isinstance(frame, TokenRequest):
-            now = time.monotonic()
-            tokens = self._quota.lend(frame.workspace, frame.wanted, now)
-            link.send(TokenGrant(frame.workspace, tokens))
-        elif isinstance(frame, TokenGrant):
-            self.on_grant(frame.workspace, frame.tokens)
-        elif isinstance(frame, Introduction):
-            for record in frame.hosts:
-                self.learn(record)
+        handler = self._handlers.get(type(frame))
+        if handler is not None:
+            handler(link, frame)
+
+    def _cancel(self, link: Link, frame: Cancel) -> None:
+        job = self._jobs.get(link, {}).pop(frame.correlation, None)
+        if job is not None:
+            self._gate.cancel(job)
+
+    def _copy_config(self, link: Link, frame: ConfigCopy) -> None:
+        if frame.version > self._config.version:
+            self._config.offer(frame.document, 'peer')
+
+    def _mark_crash(self, link: Link, frame: CrashReport) -> None:
+        self._crash_marks.add(frame.digest, frame.target_id, time.monotonic())
+
+    def _meet(self, link: Link, frame: Introduction) -> None:
+        for record in frame.hosts:
+            self.learn(record)
+
+    def _lend(self, link: Link, frame: TokenRequest) -> None:
+        now = time.monotonic()
+        tokens = self._quota.lend(frame.workspace, frame.wanted, now)
+        link.send(TokenGrant(frame.workspace, tokens))
+
+    def _take_grant(self, link: Link, frame: TokenGrant) -> None:
+        self.on_grant(frame.workspace, frame.tokens)
 
     def _run(self, link: Link, frame: Dispatch) -> None:
         jobs = self._jobs.get(link)
@@ -250,7 +264,7 @@
         if not job.is_done:
             jobs[frame.correlation] = job
 
-    def _hear(self, status: Status) -> None:
+    def _hear(self, link: Link, status: Status) -> None:
         record = status.host
         now = time.monotonic()
         if record.name not in self._chooser.views:
--- a/tests/core/test_layering.py
+++ b/tests/core/test_layering.py
@@ -10,6 +10,7 @@
     'core': set(),
     'client': {'core'},
     'daemon': {'core', 'client'},
+    'dataplane': {'core'},
     'operator': {'core', 'client'},
     'standins': {'core', 'client', 'daemon', 'operator'},
 }
@@ -48,3 +49,9 @@
 def test_core_does_no_input_or_output() -> None:
     for path in (PACKAGES / 'core').rglob('*.py'):
         assert not _imports(path) & FORBIDDEN_IN_CORE, path
+
+
+def test_policies_do_no_input_or_output() -> None:
+    policies = PACKAGES / 'dataplane/src/turmericrouter_dataplane/policy'
+    for path in policies.rglob('*.py'):
+        assert not _imports(path) & FORBIDDEN_IN_CORE, path
--- /dev/null
+++ b/tests/dataplane/test_target_chooser.py
@@ -0,0 +1,80 @@
+"""Guards against work that goes to a bad place while a better one is free."""
+
+import random
+
+from dataplane_values import make_record
+from turmericrouter_core.verdict import Reason
+from turmericrouter_dataplane.policy.target_chooser import TargetChooser
+
+
+def make_chooser(*domains: str) -> TargetChooser:
+    """Return a chooser of host h0 in domain north, all hosts linked."""
+    chooser = TargetChooser('h0', 'north', random.Random(1))
+    for number, domain in enumerate(domains):
+        view = chooser.update(make_record(f'h{number}', domain=domain))
+        view.is_linked = True
+        view.limit = 10
+    return chooser
+
+
+def choose(
+    chooser: TargetChooser, now: float = 0.0, **options: object
+) -> str | None:
+    arguments = {'is_vital': False, 'tried': ()} | options
+    return chooser.choose('design', now=now, **arguments).host
+
+
+def test_own_domain_serves_while_it_has_room() -> None:
+    chooser = make_chooser('north', 'south')
+    assert [choose(chooser) for _ in range(10)] == ['h0'] * 10
+
+
+def test_overflow_goes_to_another_domain() -> None:
+    chooser = make_chooser('north', 'south')
+    chosen = [choose(chooser) for _ in range(20)]
+    assert chosen.count('h1') >= 7
+
+
+def test_nothing_is_sent_where_all_are_full_but_vital_requests() -> None:
+    chooser = make_chooser('north', 'south')
+    chosen = [choose(chooser) for _ in range(40)]
+    assert None in chosen
+    assert choose(chooser, is_vital=True) is not None
+
+
+def test_leaving_and_unlinked_hosts_get_nothing() -> None:
+    chooser = make_chooser('north', 'south', 'south')
+    chooser.update(make_record('h0', state=2))
+    chooser.views['h1'].is_linked = False
+    assert choose(chooser) == 'h2'
+    chooser.views['h2'].is_leaving = True
+    assert choose(chooser) is None
+
+
+def test_failing_target_is_left_but_for_trials() -> None:
+    chooser = make_chooser('north', 'south')
+    for _ in range(8):
+        chooser.views['h0'].in_flight += 1
+        chooser.finish('h0', Reason.TARGET_CRASHED, 0.0)
+    chosen = [choose(chooser, now=0.1) for _ in range(8)]
+    assert chosen.count('h0') == 1
+    assert choose(chooser, now=9.0) == 'h0'
+
+
+def test_host_that_was_tried_is_not_asked_again() -> None:
+    chooser = make_chooser('north', 'south')
+    assert choose(chooser, tried={'h0'}) == 'h1'
+    assert choose(chooser, tried={'h0', 'h1'}) is None
+
+
+def test_new_start_of_a_target_has_a_clean_record() -> None:
+    chooser = make_chooser('north', 'south')
+    chooser.finish('h0', Reason.TARGET_UNREACHABLE, 0.0)
+    assert choose(chooser, now=0.1) == 'h1'
+    record = make_record('h0')
+    chooser.update(
+        type(record)(
+            record.name, record.address, 'north', 'design', 'new', 10, 1
+        )
+    )
+    assert choose(chooser, now=0.1) == 'h0'
