Hand an answer over only once its whole segment is parsed

Ruled out: late answers in a segment of their own; they were skipped by id. Conclusion: answers must carry the id, and surplus bytes spoil a connection.

--- a/packages/dataplane/src/turmericrouter_dataplane/application.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/application.py
@@ -30,10 +30,8 @@
 from turmericrouter_dataplane.members import STATUS_PERIOD_S
 from turmericrouter_dataplane.metrics import Metrics
 from turmericrouter_dataplane.model import FleetConfig
-from turmericrouter_dataplane.policy.admission_pressure import (
-    AdmissionPressure,
-)
 from turmericrouter_dataplane.policy.crash_marks import CrashMarks
+from turmericrouter_dataplane.policy.pressure import AdmissionPressure
 from turmericrouter_dataplane.policy.retry_budget import RetryBudget
 from turmericrouter_dataplane.policy.target_chooser import TargetChooser
 from turmericrouter_dataplane.policy.target_chooser import TargetState
--- a/packages/dataplane/src/turmericrouter_dataplane/dispatcher.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/dispatcher.py
@@ -23,11 +23,9 @@
 from turmericrouter_dataplane.model import FleetConfig
 from turmericrouter_dataplane.model import Route
 from turmericrouter_dataplane.model import Workspace
-from turmericrouter_dataplane.policy.admission_pressure import (
-    AdmissionPressure,
-)
 from turmericrouter_dataplane.policy.crash_marks import CrashMarks
 from turmericrouter_dataplane.policy.gate_queue import RANKS
+from turmericrouter_dataplane.policy.pressure import AdmissionPressure
 from turmericrouter_dataplane.policy.retry_budget import RetryBudget
 from turmericrouter_dataplane.policy.route_table import RouteTable
 from turmericrouter_dataplane.policy.target_chooser import TargetChooser
--- a/packages/dataplane/src/turmericrouter_dataplane/http_client.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/http_client.py
@@ -105,6 +105,7 @@
         self._in_message = False
         self._headers_done = False
         self._surplus = False
+        self._answer: HttpAnswer | None = None
         self.idle_since = time.monotonic()
         self.keep_alive_s = 0.0
         self.served = 0
@@ -181,12 +182,17 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._fail(Failure.INVALID)
+            self._surplus = True
+            if self._answer is None:
+                self._fail(Failure.INVALID)
+        self._deliver()
 
     def eof_received(self) -> bool:
         """End an answer whose length is the end of its connection."""
         if self._headers_done and self._is_unframed():
+            self._surplus = True
             self._finish_message()
+            self._deliver()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -199,7 +205,8 @@
 
     def on_message_begin(self) -> None:
         """Start an answer."""
-        if self._callback is None:
+        if self._answer is not None:
+            # A second answer to one request.
             self._surplus = True
         self._in_message = True
         self._headers_done = False
@@ -242,11 +249,11 @@
             return
         self._in_message = False
         status = self._parser.get_status_code()
-        if status < 200 or self._callback is None:
+        if status < 200 or self._answer is not None:
             return
         headers = self._headers
         echoed = headers.get(self._id_header, b'')
-        if self._expected_id and echoed and echoed != self._expected_id:
+        if self._expected_id and echoed != self._expected_id:
             # A late answer to an earlier request; the own one may follow.
             self._surplus = True
             return
@@ -254,13 +261,24 @@
             self._surplus = True
         self._note_keep_alive(headers)
         body = self._body
-        answer = HttpAnswer(
+        self._answer = HttpAnswer(
             status,
             status_line(status) + b''.join(self._lines),
             headers,
             body[0] if len(body) == 1 else b''.join(body),
         )
-        callback, self._callback = self._callback, None
+
+    def _deliver(self) -> None:
+        """Hand the answer over once all that came with it is parsed.
+
+        Earlier, the next request could be sent on this connection while a
+        surplus answer still lies in the same segment.
+        """
+        answer, callback = self._answer, self._callback
+        if answer is None or callback is None:
+            return
+        self._answer = None
+        self._callback = None
         self.idle_since = time.monotonic()
         callback(answer)
 
--- /dev/null
+++ b/tests/dataplane/test_http_client.py
@@ -0,0 +1,174 @@
+"""Guards against answers that reach another request, and half answers."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import socket
+import struct
+
+import pytest
+
+from turmericrouter_dataplane import http_client
+from turmericrouter_dataplane.http_client import Failure
+from turmericrouter_dataplane.http_client import HttpAnswer
+from turmericrouter_dataplane.http_client import HttpClientConnection
+
+REQUEST = b'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
+Result = HttpAnswer | Failure
+
+
+def answer(request_id: bytes, body: bytes = b'ok') -> bytes:
+    return b'HTTP/1.1 200 OK\r\nX-Id: %b\r\nContent-Length: %d\r\n\r\n%b' % (
+        request_id,
+        len(body),
+        body,
+    )
+
+
+async def exchange(
+    *parts: bytes, reset: bool = False, close: bool = False
+) -> tuple[Result, HttpClientConnection]:
+    """Send a request with id `own` to a server that sends these parts."""
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        for part in parts:
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(0.02)
+        if reset:
+            sock = writer.get_extra_info('socket')
+            linger = struct.pack('ii', 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+        elif close:
+            writer.close()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    connection = await http_client.connect(
+        '127.0.0.1', port, lambda _: None, timeout_s=2.0, id_header=b'x-id'
+    )
+    future: asyncio.Future[Result] = asyncio.get_running_loop().create_future()
+    connection.send(REQUEST, future.set_result, expected_id=b'own')
+    result = await asyncio.wait_for(future, 5.0)
+    server.close()
+    return result, connection
+
+
+def run(work: Callable[[], Awaitable[None]]) -> None:
+    asyncio.run(work())  # type: ignore[arg-type]
+
+
+async def expect_body(body: bytes, *parts: bytes, close: bool = False) -> bool:
+    """Check the body, and return whether the connection may be reused."""
+    result, connection = await exchange(*parts, close=close)
+    assert isinstance(result, HttpAnswer)
+    assert result.body == body
+    is_reusable = connection.is_reusable
+    connection.abort()
+    return is_reusable
+
+
+def test_whole_answer_leaves_the_connection_usable() -> None:
+    assert asyncio.run(expect_body(b'ok', answer(b'own')))
+
+
+def test_late_answer_of_another_request_is_skipped() -> None:
+    parts = answer(b'other', b'no'), answer(b'own')
+    assert not asyncio.run(expect_body(b'ok', *parts))
+
+
+def test_answer_without_an_id_is_no_answer_to_the_request() -> None:
+    stray = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno'
+    assert not asyncio.run(expect_body(b'ok', stray, answer(b'own')))
+
+
+def test_surplus_answer_in_the_same_segment_spoils_the_connection() -> None:
+    parts = answer(b'own') + answer(b'own', b'no')
+    assert not asyncio.run(expect_body(b'ok', parts))
+
+
+def test_surplus_bytes_in_the_same_segment_spoil_the_connection() -> None:
+    assert not asyncio.run(expect_body(b'ok', answer(b'own') + b'junk'))
+
+
+def test_surplus_answer_never_goes_to_the_next_request() -> None:
+    """The callback of the first answer sends the next request at once."""
+
+    async def work() -> None:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(answer(b'own') + answer(b'own', b'no'))
+            await asyncio.sleep(0.2)
+            writer.close()
+
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        connection = await http_client.connect(
+            '127.0.0.1', port, lambda _: None, timeout_s=2.0, id_header=b'x-id'
+        )
+        reusable: asyncio.Future[bool] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+        def first(result: Result) -> None:
+            reusable.set_result(connection.is_reusable)
+
+        connection.send(REQUEST, first, expected_id=b'own')
+        assert not await asyncio.wait_for(reusable, 5.0)
+        connection.abort()
+        server.close()
+
+    run(work)
+
+
+def test_answer_that_ends_with_its_connection_is_whole() -> None:
+    head = b'HTTP/1.1 200 OK\r\nX-Id: own\r\n\r\n'
+    assert not asyncio.run(expect_body(b'body', head, b'body', close=True))
+
+
+@pytest.mark.parametrize(
+    ('parts', 'reset', 'close', 'failure'),
+    [
+        ((b'HTTP/1.1 200 OK\r\nX-Id: own\r\n\r\n', b'bo'), True, False,
+         Failure.BROKEN),
+        ((answer(b'own', b'0123456789')[:-4],), False, True, Failure.BROKEN),
+        ((b'\x00\x01 what is this\r\n\r\n',), False, False, Failure.INVALID),
+        ((b'',), False, True, Failure.BROKEN),
+    ],
+)  # fmt: skip
+def test_answer_that_breaks_off_is_a_failure(
+    parts: tuple[bytes, ...], reset: bool, close: bool, failure: Failure
+) -> None:
+    async def work() -> None:
+        result, connection = await exchange(*parts, reset=reset, close=close)
+        assert result is failure
+        connection.abort()
+
+    run(work)
+
+
+def test_bytes_without_a_request_close_the_connection() -> None:
+    async def work() -> None:
+        result, connection = await exchange(answer(b'own'), b'surplus')
+        assert isinstance(result, HttpAnswer)
+        for _ in range(100):
+            if not connection.is_open:
+                break
+            await asyncio.sleep(0.02)
+        assert not connection.is_reusable
+
+    run(work)
+
+
+def test_chunked_body_is_joined() -> None:
+    head = (
+        b'HTTP/1.1 200 OK\r\nX-Id: own\r\nTransfer-Encoding: chunked\r\n\r\n'
+    )
+    parts = head, b'3\r\nabc\r\n', b'2\r\nde\r\n0\r\n\r\n'
+    assert asyncio.run(expect_body(b'abcde', *parts))
--- a/tests/dataplane/test_admission_pressure.py
+++ b/tests/dataplane/test_pressure.py
@@ -6,9 +6,7 @@
 
 import random
 
-from turmericrouter_dataplane.policy.admission_pressure import (
-    AdmissionPressure,
-)
+from turmericrouter_dataplane.policy.pressure import AdmissionPressure
 
 _DRAWS = [number / 100 for number in range(100)]
 
