Send nothing over a suspect link, and reconnect at once to a peer that is back

Cause: read of the code: calls went on over a link whose probe had no reply yet, and after an outage the reconnection waited up to two seconds although the peer's own link had come up.

--- a/packages/dataplane/src/turmericrouter_dataplane/links.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/links.py
@@ -20,9 +20,11 @@
 
 CONNECT_TIMEOUT_S = 1.0
 # A link with calls in flight is asked for a sign of life after this silence.
-PROBE_AFTER_S = 0.4
-# Silence after a probe that ends the link.
-DEAD_AFTER_S = 0.9
+PROBE_AFTER_S = 0.3
+# Silence after a probe from which on the link gets no new calls, and the one
+# that ends it.
+SUSPECT_AFTER_S = 0.2
+DEAD_AFTER_S = 0.8
 FIRST_RECONNECT_S = 0.2
 LONGEST_RECONNECT_S = 2.0
 
@@ -68,6 +70,12 @@
         """Return whether frames can be sent."""
         return self._transport is not None
 
+    def is_suspect(self, now: float) -> bool:
+        """Return whether a probe is left without a reply."""
+        return bool(self._probed_at) and (
+            now - self._probed_at > SUSPECT_AFTER_S
+        )
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Tell the handler."""
         self._transport = cast(asyncio.Transport, transport)
@@ -172,6 +180,7 @@
         self._links: dict[str, Link] = {}
         self._addresses: dict[str, str] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._retry_now: dict[str, asyncio.Event] = {}
         self._stopped = False
 
     def get(self, peer: str) -> Link | None:
@@ -185,11 +194,19 @@
             return
         self.forget(peer)
         self._addresses[peer] = address
+        self._retry_now[peer] = asyncio.Event()
         self._tasks[peer] = asyncio.ensure_future(self._keep(peer, address))
 
+    def retry(self, peer: str) -> None:
+        """Connect at once to a peer that has shown to be back."""
+        event = self._retry_now.get(peer)
+        if event is not None and self.get(peer) is None:
+            event.set()
+
     def forget(self, peer: str) -> None:
         """Close the link to a peer and keep none open."""
         self._addresses.pop(peer, None)
+        self._retry_now.pop(peer, None)
         task = self._tasks.pop(peer, None)
         if task is not None:
             task.cancel()
@@ -202,6 +219,12 @@
         for link in list(self._links.values()):
             link.check(now)
 
+    def suspects(self, now: float) -> list[str]:
+        """Return the peers whose links leave a probe without a reply."""
+        return [
+            peer for peer, link in self._links.items() if link.is_suspect(now)
+        ]
+
     def open_links(self) -> list[Link]:
         """Return all links that can be used."""
         return [link for link in self._links.values() if link.is_open]
@@ -216,20 +239,30 @@
         ip, _, port = address.rpartition(':')
         wait_s = FIRST_RECONNECT_S
         loop = asyncio.get_running_loop()
+        retry_now = self._retry_now[peer]
         while True:
+            retry_now.clear()
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     _, link = await loop.create_connection(
                         lambda: Link(self._handler, peer), ip, int(port)
                     )
             except (OSError, TimeoutError):
-                await asyncio.sleep(wait_s)
+                await _wait(retry_now, wait_s)
                 wait_s = min(LONGEST_RECONNECT_S, wait_s * 1.5)
                 continue
             self._links[peer] = link
             wait_s = FIRST_RECONNECT_S
-            await link.closed
-            await asyncio.sleep(wait_s)
+            await asyncio.shield(link.closed)
+            await _wait(retry_now, wait_s)
+
+
+async def _wait(event: asyncio.Event, longest_s: float) -> None:
+    try:
+        async with asyncio.timeout(longest_s):
+            await event.wait()
+    except TimeoutError:
+        return
 
 
 class LinkServer:
--- a/packages/dataplane/src/turmericrouter_dataplane/members.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/members.py
@@ -39,6 +39,8 @@
 # A peer that lags behind gets the configuration after this time; by then
 # it would have it from the log, were the log in its reach.
 _LAG_S = 0.7
+# A peer whose link has gone silent gets no new calls for this time.
+_SUSPECT_S = 0.4
 
 
 class Members:
@@ -181,7 +183,12 @@
 
     def check_links(self) -> None:
         """Look for links that have gone silent."""
-        self._pool.check(time.monotonic())
+        now = time.monotonic()
+        self._pool.check(now)
+        for peer in self._pool.suspects(now):
+            view = self._chooser.views.get(peer)
+            if view is not None:
+                view.avoid_until = now + _SUSPECT_S
 
     def report_crash(self, digest: int, target_id: str) -> None:
         """Tell the fleet that a request has crashed the target."""
@@ -272,6 +279,7 @@
             self._introduce(record.name, status.config_version)
         view = self._chooser.update(record)
         self._pool.want(record.name, record.address)
+        self._pool.retry(record.name)
         view.heard_at = now
         view.is_leaving = status.is_leaving
         view.running = status.running
--- /dev/null
+++ b/tests/dataplane/test_links.py
@@ -0,0 +1,166 @@
+"""Guards against calls that hang on a silent link, and lost verdicts."""
+
+import asyncio
+import time
+
+from turmericrouter_core.verdict import Reason
+from turmericrouter_core.verdict import Verdict
+from turmericrouter_dataplane.frames import Cancel
+from turmericrouter_dataplane.frames import Dispatch
+from turmericrouter_dataplane.frames import encode_frame
+from turmericrouter_dataplane.frames import Frame
+from turmericrouter_dataplane.frames import FrameReader
+from turmericrouter_dataplane.frames import Outcome
+from turmericrouter_dataplane.frames import Probe
+from turmericrouter_dataplane.links import Link
+from turmericrouter_dataplane.links import LinkPool
+from turmericrouter_dataplane.links import LinkServer
+
+
+def make_dispatch(correlation: int) -> Dispatch:
+    return Dispatch(
+        correlation,
+        't',
+        1,
+        True,
+        1000,
+        100,
+        b'GET / HTTP/1.1\r\n',
+        b'',
+        b'i',
+        0,
+    )
+
+
+class Recorder:
+    """Keeps frames and answers calls if it is told to."""
+
+    def __init__(self, answers: bool = True) -> None:
+        self.frames: list[Frame] = []
+        self.opened = asyncio.Event()
+        self._answers = answers
+
+    def handle(self, link: Link, frame: Frame) -> None:
+        self.frames.append(frame)
+        if self._answers and isinstance(frame, Dispatch):
+            link.send(
+                Outcome(frame.correlation, Verdict.RAN, Reason.SERVED, 200)
+            )
+
+    def link_opened(self, link: Link) -> None:
+        self.opened.set()
+
+    def link_closed(self, link: Link) -> None:
+        """Do nothing."""
+
+
+async def open_link(port: int, recorder: Recorder) -> tuple[LinkPool, Link]:
+    pool = LinkPool(recorder)
+    pool.want('peer', f'127.0.0.1:{port}')
+    async with asyncio.timeout(5.0):
+        while (link := pool.get('peer')) is None:
+            await asyncio.sleep(0.01)
+    return pool, link
+
+
+async def call(link: Link) -> asyncio.Future[Outcome]:
+    future: asyncio.Future[Outcome] = (
+        asyncio.get_running_loop().create_future()
+    )
+    link.dispatch(make_dispatch(link.next_correlation()), future.set_result)
+    return future
+
+
+def test_outcome_reaches_its_call() -> None:
+    async def work() -> None:
+        server_side = Recorder()
+        server = LinkServer(server_side)
+        await server.start('127.0.0.1', 0)
+        assert server._server is not None
+        port = server._server.sockets[0].getsockname()[1]
+        pool, link = await open_link(port, Recorder())
+        first, second = await call(link), await call(link)
+        outcomes = await asyncio.gather(first, second)
+        assert [o.correlation for o in outcomes] == [1, 2]
+        assert all(o.verdict is Verdict.RAN for o in outcomes)
+        pool.stop()
+        server.stop()
+
+    asyncio.run(work())
+
+
+def test_silent_link_ends_and_its_calls_may_have_run() -> None:
+    async def work() -> None:
+        silent = asyncio.Event()
+
+        async def swallow(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await silent.wait()
+
+        server = await asyncio.start_server(swallow, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        pool, link = await open_link(port, Recorder())
+        future = await call(link)
+        begin = time.monotonic()
+        while not future.done():
+            pool.check(time.monotonic())
+            if link.is_suspect(time.monotonic()):
+                assert pool.suspects(time.monotonic()) == ['peer']
+            assert time.monotonic() - begin < 10.0
+            await asyncio.sleep(0.02)
+        assert future.result().verdict is Verdict.MAY_HAVE_RUN
+        assert future.result().reason is Reason.LINK_LOST
+        silent.set()
+        pool.stop()
+        server.close()
+
+    asyncio.run(work())
+
+
+def test_call_on_a_closed_link_has_not_run() -> None:
+    async def work() -> None:
+        server = LinkServer(Recorder())
+        await server.start('127.0.0.1', 0)
+        assert server._server is not None
+        port = server._server.sockets[0].getsockname()[1]
+        pool, link = await open_link(port, Recorder())
+        pool.stop()
+        link.abort()
+        await link.closed
+        outcome = await (await call(link))
+        assert outcome.verdict is Verdict.NOT_RUN
+        server.stop()
+
+    asyncio.run(work())
+
+
+def test_cancelled_call_tells_the_peer_and_gets_no_outcome() -> None:
+    async def work() -> None:
+        server_side = Recorder(answers=False)
+        server = LinkServer(server_side)
+        await server.start('127.0.0.1', 0)
+        assert server._server is not None
+        port = server._server.sockets[0].getsockname()[1]
+        pool, link = await open_link(port, Recorder())
+        future = await call(link)
+        link.cancel(1)
+        async with asyncio.timeout(5.0):
+            while Cancel(1) not in server_side.frames:
+                await asyncio.sleep(0.01)
+        assert not future.done()
+        pool.stop()
+        server.stop()
+
+    asyncio.run(work())
+
+
+def test_frames_survive_any_split_of_the_stream() -> None:
+    frames: list[Frame] = [make_dispatch(1), Probe(True), Cancel(7)]
+    data = b''.join(encode_frame(frame) for frame in frames)
+    for size in range(1, len(data)):
+        reader = FrameReader()
+        read: list[Frame] = []
+        for start in range(0, len(data), size):
+            read += reader.feed(data[start : start + size])
+        assert read == frames
