Wait in the whole-path tests until each host knows all targets

Cause: test_leaving_target_gets_no_new_work failed once beside other work: the entry did not know the second target yet when the first one left (503). Ruled out: a fault of the daemon; its log shows one host known at that time. Conclusion: the metrics have the number of links and of targets that serve.

--- a/packages/dataplane/src/turmericrouter_dataplane/application.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/application.py
@@ -241,6 +241,8 @@
                 'gate_running': self._gate.running,
                 'gate_waiting': self._gate.waiting,
                 'hosts': self._members.peers + 1,
+                'links_open': self._members.links_open,
+                'targets_serving': self._chooser.serving,
                 'requests_in_flight': self._dispatcher.in_flight,
                 'callers_connected': len(self._callers.connections),
             }
--- a/packages/dataplane/src/turmericrouter_dataplane/members.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/members.py
@@ -106,6 +106,11 @@
         """Return the number of other hosts."""
         return len(self._chooser.views) - 1
 
+    @property
+    def links_open(self) -> int:
+        """Return the number of links that can be used."""
+        return len(self._pool.open_links())
+
     def link_of(self, host: str) -> Link | None:
         """Return the open link to a host."""
         return self._pool.get(host)
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/target_chooser.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/target_chooser.py
@@ -123,6 +123,11 @@
         """Return all hosts by name."""
         return self._views
 
+    @property
+    def serving(self) -> int:
+        """Return the number of targets that may be chosen."""
+        return sum(_is_usable(view) for view in self._views.values())
+
     def update(self, record: HostRecord) -> HostView:
         """Take in what a host says of itself."""
         view = self._views.get(record.name)
--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -197,6 +197,26 @@
                     pass
                 await asyncio.sleep(0.05)
 
+    async def gauge(self, host: Host, name: str) -> float:
+        """Return a figure from a host's metrics, -1 if it can't be had."""
+        url = f'http://127.0.0.1:{host.metrics_port}/metrics'
+        try:
+            async with (
+                aiohttp.ClientSession() as session,
+                session.get(url) as answer,
+            ):
+                lines = (await answer.text()).splitlines()
+        except aiohttp.ClientError:
+            return -1.0
+        values = dict(line.rsplit(' ', 1) for line in lines)
+        return float(values.get(f'turmeric_{name}', -1.0))
+
+    async def knows_all(self, host: Host) -> None:
+        """Wait until a host may send requests to each target."""
+        async with asyncio.timeout(_START_S):
+            while await self.gauge(host, 'targets_serving') < len(self.hosts):
+                await asyncio.sleep(0.05)
+
     async def close(self) -> None:
         """Close the client's connections."""
         if self._session is not None:
@@ -221,6 +241,7 @@
             host.launch()
             await host.upstream.start()
         for host in hosts:
+            await fleet.knows_all(host)
             for path in ('/read/warm', '/open/warm'):
                 await fleet.serves(host, path)
         yield fleet
