--- a/packages/daemon/src/turmericrouter_daemon/cli.py
+++ b/packages/daemon/src/turmericrouter_daemon/cli.py
@@ -97,7 +97,7 @@
 
 @app.command(name='list-settings')
 def print_settings_table() -> None:
-    """Print the table of settings of docs/operations.md."""
+    """Print the table of settings of docs/OPERATIONS.md."""
     print(settings_table(), end='')
 
 
--- a/packages/daemon/src/turmericrouter_daemon/metrics.py
+++ b/packages/daemon/src/turmericrouter_daemon/metrics.py
@@ -1,6 +1,6 @@
 """Metrics by statsd over UDP.
 
-Names and meanings are listed in docs/operations.md.
+Names and meanings are listed in docs/OPERATIONS.md.
 """
 
 from typing import Protocol
--- a/packages/daemon/src/turmericrouter_daemon/reference.py
+++ b/packages/daemon/src/turmericrouter_daemon/reference.py
@@ -1,4 +1,4 @@
-"""List of all settings, for the example file and docs/operations.md."""
+"""List of all settings, for the example file and docs/OPERATIONS.md."""
 
 from collections.abc import Iterator
 import dataclasses
@@ -73,7 +73,7 @@
 
 
 def settings_table() -> str:
-    """Return the table of docs/operations.md."""
+    """Return the table of docs/OPERATIONS.md."""
     lines = ['| setting | default | allowed | meaning |', '| - | - | - | - |']
     lines += [
         f'| `{entry.section}.{entry.name}` '
--- a/packages/daemon/src/turmericrouter_daemon/settings.py
+++ b/packages/daemon/src/turmericrouter_daemon/settings.py
@@ -1,6 +1,6 @@
 """Settings of the daemon, with their units, defaults and ranges.
 
-Units are in the names. `settings_file` reads them; docs/operations.md lists
+Units are in the names. `settings_file` reads them; docs/OPERATIONS.md lists
 them.
 """
 
--- a/packages/dataplane/src/turmericrouter_dataplane/application.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/application.py
@@ -53,7 +53,7 @@
 # two readiness checks have failed.
 _LEAVE_S = 2.6
 # Time left for closing before the process is killed.
-_STOP_RESERVE_S = 0.7
+_STOP_RESERVE_S = 1.0
 # Connections are closed this long after the time a caller may reuse them in.
 _IDLE_SLACK_S = 1.0
 
--- a/packages/dataplane/src/turmericrouter_dataplane/members.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/members.py
@@ -38,7 +38,7 @@
 SILENCE_S = 2.6
 # A peer that lags behind gets the configuration after this time; by then
 # it would have it from the log, were the log in its reach.
-_LAG_S = 0.7
+_LAG_S = 0.5
 # A peer whose link has gone silent gets no new calls for this time.
 _SUSPECT_S = 0.4
 
--- a/tests/daemon/test_operations_page.py
+++ b/tests/daemon/test_operations_page.py
@@ -1,4 +1,4 @@
-"""docs/operations.md against the source."""
+"""docs/OPERATIONS.md against the source."""
 
 import ast
 from collections.abc import Iterator
@@ -7,7 +7,7 @@
 from turmericrouter_daemon.reference import settings_table
 
 ROOT = pathlib.Path(__file__).parents[2]
-PAGE = (ROOT / 'docs' / 'operations.md').read_text()
+PAGE = (ROOT / 'docs' / 'OPERATIONS.md').read_text()
 SOURCES = ROOT / 'packages' / 'daemon' / 'src'
 LOG_METHODS = {'debug', 'info', 'warning', 'error', 'record'}
 METRIC_METHODS = {'incr', 'gauge', 'timing'}
