Arm the timer once a tick

Cause: a callback that subscribed during a tick armed the timer, and the end of the tick armed it again, so wake-ups multiplied: 10,000 a second in a profile of an idle daemon under light load. Ruled out: the number of deadlines; the heap held a few hundred. Before and after: test_subscribing_inside_a_callback_adds_no_wake_up fails before and passes after.

--- a/packages/dataplane/src/turmericrouter_dataplane/timers.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/timers.py
@@ -91,5 +91,6 @@
                 callback()
             except Exception as error:
                 self._on_error('deadline', error)
-        if heap:
+        # A callback that subscribed has armed the timer already.
+        if heap and self._handle is None:
             self._arm()
