--- a/Makefile
+++ b/Makefile
@@ -42,6 +42,7 @@
 
 demo: env
 	bash demo/run.sh
+	$(PYTHON) demo/platform_path.py
 
 soak: env
 	$(PYTHON) -m turmericrouter_standins.soak --seed $(SEED) --seconds $(SECONDS)
--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -69,10 +69,16 @@
         service: Service of the upstream.
         store_port: Port of the store.
         folder: Where settings and output are kept.
+        domain: Failure domain of the host.
     """
 
     def __init__(
-        self, name: str, service: str, store_port: int, folder: pathlib.Path
+        self,
+        name: str,
+        service: str,
+        store_port: int,
+        folder: pathlib.Path,
+        domain: str = 'north',
     ) -> None:
         self.name = name
         names = ('outbound', 'ready', 'control', 'inbound', 'app', 'peers')
@@ -93,7 +99,7 @@
             f'{key} = "127.0.0.1:{ports[key]}"' for key in names[:4]
         )
         self.settings.write_text(
-            f'node_name = "{name}"\nzone = "north"\nservice = "{service}"\n'
+            f'node_name = "{name}"\nzone = "{domain}"\nservice = "{service}"\n'
             f'ip = "127.0.0.1"\ninternal_ports = [{ports["peers"]}, 65535]\n'
             f'app_addr = "127.0.0.1:{ports["app"]}"\n'
             'bounds = ["grace_s=6", "retry_slack=49"]\n'
@@ -225,13 +231,27 @@
 
 @contextlib.asynccontextmanager
 async def running_fleet(
-    folder: pathlib.Path, services: tuple[str, ...] = ('design', 'works')
+    folder: pathlib.Path,
+    services: tuple[str, ...] = ('design', 'works'),
+    domains: tuple[str, ...] = ('north',),
 ) -> AsyncIterator[Fleet]:
-    """Run a fleet with one host a service, ready to serve."""
+    """Run a fleet with one host a service, ready to serve.
+
+    Args:
+        folder: Where settings and output are kept.
+        services: Service of each host.
+        domains: Failure domains that the hosts take turns in.
+    """
     store = StandinStore()
     await store.start()
     hosts = [
-        Host(f'host-{number}', service, store.port, folder)
+        Host(
+            f'host-{number}',
+            service,
+            store.port,
+            folder,
+            domains[number % len(domains)],
+        )
         for number, service in enumerate(services)
     ]
     fleet = Fleet(store, hosts)
