--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -24,13 +25,20 @@
 
 
 def _free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(('127.0.0.1', 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+    """Return consecutive free ports below those of outgoing connections."""
+    while True:
+        first = random.randrange(12_000, 32_000)
+        sockets = []
+        try:
+            for port in range(first, first + count):
+                sockets.append(socket.socket())
+                sockets[-1].bind(('127.0.0.1', port))
+            return list(range(first, first + count))
+        except OSError:
+            continue
+        finally:
+            for each in sockets:
+                each.close()
 
 
 def make_config(version: int = 1, **changes: Any) -> dict[str, Any]:
@@ -81,7 +89,8 @@
         domain: str = 'north',
     ) -> None:
         self.name = name
-        names = ('outbound', 'ready', 'control', 'inbound', 'app', 'peers')
+        names = ('outbound', 'ready', 'control', 'inbound', 'app', 'peers',
+                 'metrics')  # fmt: skip
         ports = dict(zip(names, _free_ports(len(names)), strict=True))
         self.port = ports['outbound']
         self.ready_port = ports['ready']
