Split handlers, host records and single calls from the large modules

Cause: application, members and http_client each held a second concept. Ruled out: a change of behaviour. Conclusion: a module per concept.

--- a/packages/dataplane/src/turmericrouter_dataplane/announcements.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/announcements.py
@@ -15,6 +15,17 @@
     target_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ignored:
+    """An announcement that can't be used.
+
+    Args:
+        why: What is wrong with it.
+    """
+
+    why: str
+
+
 class Announcements:
     """Keeps the newest announcement of the local target.
 
--- a/packages/dataplane/src/turmericrouter_dataplane/application.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/application.py
@@ -12,6 +12,7 @@
 from turmericrouter_core.errors import SettingsError
 from turmericrouter_dataplane.announcements import Announcements
 from turmericrouter_dataplane.announcements import Departure
+from turmericrouter_dataplane.announcements import Ignored
 from turmericrouter_dataplane.config_feed import ConfigDecoder
 from turmericrouter_dataplane.config_feed import ConfigFeed
 from turmericrouter_dataplane.decision_log import DecisionLog
@@ -21,13 +22,15 @@
 from turmericrouter_dataplane.frames import HostRecord
 from turmericrouter_dataplane.gate import Gate
 from turmericrouter_dataplane.gate import LocalTarget
+from turmericrouter_dataplane.handlers import AnnouncementHandler
+from turmericrouter_dataplane.handlers import MetricsHandler
+from turmericrouter_dataplane.handlers import ReadyHandler
+from turmericrouter_dataplane.host_directory import HostDirectory
 from turmericrouter_dataplane.http_server import HttpRequest
 from turmericrouter_dataplane.http_server import HttpServer
-from turmericrouter_dataplane.http_server import status_line
 from turmericrouter_dataplane.links import LinkServer
 from turmericrouter_dataplane.log_service import LogService
 from turmericrouter_dataplane.members import BEAT_PERIOD_S
-from turmericrouter_dataplane.members import HostDirectory
 from turmericrouter_dataplane.members import Members
 from turmericrouter_dataplane.metrics import Metrics
 from turmericrouter_dataplane.model import FleetConfig
@@ -64,17 +67,6 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ignored:
-    """An announcement that can't be used.
-
-    Args:
-        why: What is wrong with it.
-    """
-
-    why: str
-
-
 class Deployment(Protocol):
     """The formats and calls of the platform that the daemon runs on."""
 
@@ -114,55 +106,6 @@
         """Return a client of the platform's log."""
 
 
-class _ReadyHandler:
-    """Answers the readiness check and serves metrics."""
-
-    def __init__(self, application: 'Application') -> None:
-        self._application = application
-
-    def handle(self, request: HttpRequest) -> None:
-        application = self._application
-        if request.target.startswith(b'/metrics'):
-            status, body = 200, application.render_metrics()
-        else:
-            status = 200 if application.is_ready else 503
-            body = b''
-        request.connection.respond(request, status_line(status), body)
-
-    def abandon(self, request: HttpRequest) -> None:
-        """Do nothing; answers are made at once."""
-
-
-class _ControlHandler:
-    """Takes announcements of the local target."""
-
-    def __init__(
-        self,
-        deployment: Deployment,
-        announcements: Announcements,
-        log: DecisionLog,
-    ) -> None:
-        self._deployment = deployment
-        self._announcements = announcements
-        self._log = log
-
-    def handle(self, request: HttpRequest) -> None:
-        message = self._deployment.decode_announcement(request)
-        status = 200
-        if isinstance(message, LocalTarget):
-            self._announcements.announce(message)
-        elif isinstance(message, Departure):
-            self._announcements.depart(message)
-        else:
-            status = 400
-            self._log.decision('announcement_ignored', why=message.why)
-        head = status_line(status) + b'Content-Type: application/json\r\n'
-        request.connection.respond(request, head, b'{}')
-
-    def abandon(self, request: HttpRequest) -> None:
-        """Do nothing; answers are made at once."""
-
-
 class Application:
     """Owns all parts of the daemon.
 
@@ -210,9 +153,13 @@
         self._dispatcher = self._make_dispatcher()
         self._announcements = Announcements(self._target_changed, self._log)
         self._callers = HttpServer(self._dispatcher, self._bad_request)
-        self._ready = HttpServer(_ReadyHandler(self))
+        self._ready = HttpServer(ReadyHandler(lambda: self.is_ready))
         self._control = HttpServer(
-            _ControlHandler(deployment, self._announcements, self._log)
+            AnnouncementHandler(
+                deployment.decode_announcement,
+                self._announcements,
+                self._log,
+            )
         )
         self._links = LinkServer(self._members)
         self._tasks: list[asyncio.Task[None]] = []
@@ -300,7 +247,7 @@
         await self._control.start(settings.control.ip, settings.control.port)
         await self._ready.start(settings.ready.ip, settings.ready.port)
         if settings.metrics != settings.ready:
-            metrics = HttpServer(_ReadyHandler(self))
+            metrics = HttpServer(MetricsHandler(self.render_metrics))
             await metrics.start(settings.metrics.ip, settings.metrics.port)
         self._subscribe()
         self._tasks = [
--- /dev/null
+++ b/packages/dataplane/src/turmericrouter_dataplane/host_directory.py
@@ -0,0 +1,96 @@
+"""Records of the hosts in the platform's log."""
+
+from collections.abc import Callable
+
+from turmericrouter_core.errors import LogServiceError
+from turmericrouter_core.errors import ProtocolError
+from turmericrouter_dataplane.decision_log import DecisionLog
+from turmericrouter_dataplane.frames import decode_record
+from turmericrouter_dataplane.frames import encode_record
+from turmericrouter_dataplane.frames import HostRecord
+from turmericrouter_dataplane.log_service import KeyedRecord
+from turmericrouter_dataplane.log_service import LogService
+from turmericrouter_dataplane.log_service import Stream
+from turmericrouter_dataplane.members import Members
+
+
+class HostDirectory:
+    """The hosts' records in the platform's log.
+
+    Args:
+        log_service: The platform's log.
+        members: Hosts of the fleet.
+        log: Decision log.
+    """
+
+    def __init__(
+        self, log_service: LogService, members: Members, log: DecisionLog
+    ) -> None:
+        self._log_service = log_service
+        self._members = members
+        self._log = log
+        self._stored = b''
+
+    async def load(
+        self, on_own: Callable[[HostRecord], None] = lambda record: None
+    ) -> None:
+        """Read all records.
+
+        Args:
+            on_own: Told what this host said of itself before.
+
+        Raises:
+            LogServiceError: They could not be read.
+        """
+        page = await self._log_service.newest(Stream.HOSTS)
+        own = self._members.record.name
+        for item in page.records:
+            try:
+                record = decode_record(item.value)
+            except ProtocolError as error:
+                self._log.event(
+                    'host_record_skipped', peer=item.key, error=str(error)
+                )
+                continue
+            if record.name == own:
+                self._stored = item.value
+                on_own(record)
+            else:
+                self._members.learn(record)
+        self._forget_missing({item.key for item in page.records})
+
+    async def store(self) -> bool:
+        """Write what this host says of itself, if it has changed.
+
+        Returns:
+            Whether the log holds the present record.
+        """
+        record = self._members.record
+        value = encode_record(record)
+        if value == self._stored:
+            return True
+        try:
+            await self._log_service.append(
+                Stream.HOSTS, KeyedRecord(record.name, value)
+            )
+        except LogServiceError as error:
+            self._log.event('host_record_not_stored', error=str(error))
+            return False
+        self._stored = value
+        return True
+
+    async def withdraw(self) -> None:
+        """Remove this host's record.
+
+        Raises:
+            LogServiceError: It may still be there.
+        """
+        await self._log_service.append(
+            Stream.HOSTS, KeyedRecord(self._members.record.name, b'')
+        )
+
+    def _forget_missing(self, present: set[str]) -> None:
+        """Drop hosts whose record is gone and that are not heard."""
+        for name in self._members.silent(3 * self._members.silence_s):
+            if name not in present:
+                self._members.forget(name)
--- a/tests/platform/test_announcement.py
+++ b/tests/platform/test_announcement.py
@@ -6,7 +6,7 @@
 import pytest
 
 from turmericrouter_dataplane.announcements import Departure
-from turmericrouter_dataplane.application import Ignored
+from turmericrouter_dataplane.announcements import Ignored
 from turmericrouter_dataplane.gate import LocalTarget
 from turmericrouter_dataplane.http_server import HttpRequest
 from turmericrouter_dataplane.policy.target_chooser import TargetState
