Split target connections and request heads from gate and dispatcher

Cause: both modules held a second concept, and the gate opened connections in two places; the headers named by Connection were handled in a special case.

--- a/packages/dataplane/src/turmericrouter_dataplane/dispatcher.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/dispatcher.py
@@ -30,6 +30,7 @@
 from turmericrouter_dataplane.policy.route_table import RouteTable
 from turmericrouter_dataplane.policy.target_chooser import TargetChooser
 from turmericrouter_dataplane.policy.workspace_quota import WorkspaceQuota
+from turmericrouter_dataplane.request_head import RequestHeads
 from turmericrouter_dataplane.timers import TimerService
 from turmericrouter_dataplane.token_exchange import TokenExchange
 
@@ -47,21 +48,6 @@
 _FIRST_RETURN_S = 0.25
 _RETURN_SPAN_S = 0.75
 _LEVELS = 4
-_HOP_HEADERS = frozenset(
-    {
-        b'connection',
-        b'keep-alive',
-        b'proxy-connection',
-        b'proxy-authorization',
-        b'te',
-        b'trailer',
-        b'transfer-encoding',
-        b'content-length',
-        b'upgrade',
-        b'expect',
-        b'authorization',
-    }
-)
 _AUTHORIZATION = b'authorization'
 _BEARER = b'bearer '
 _STATUS_OF_REASON = {
@@ -135,14 +121,7 @@
         self._names = headers
         self._id_name = headers.request_id.lower()
         self._deadline_name = headers.deadline_ms.lower()
-        self._own_headers = _HOP_HEADERS | {
-            headers.deadline_ms.lower(),
-            headers.target_id.lower(),
-            headers.workspace.lower(),
-            headers.caller_service.lower(),
-        }
-        self._caller_line = b''
-        self.set_service(service)
+        self._heads = RequestHeads(headers, service)
         self._table: RouteTable | None = None
         self.in_flight = 0
 
@@ -153,8 +132,7 @@
 
     def set_service(self, service: str) -> None:
         """Set the service that requests of this host come from."""
-        name = self._names.caller_service
-        self._caller_line = b'%b: %b\r\n' % (name, service.encode())
+        self._heads = RequestHeads(self._names, service)
 
     def set_config(self, config: FleetConfig) -> None:
         """Put a configuration in force."""
@@ -297,7 +275,7 @@
             call.rank = min(1 + level, RANKS - 1)
         else:
             call.parent = self._parent_of(request_id)
-        call.head = self._head(call)
+        call.head = self._heads.build(request, call.workspace)
         digest = xxhash.xxh3_64_intdigest(
             b'%b %b %b %b'
             % (
@@ -310,34 +288,6 @@
         call.digest = digest & 0x7FFFFFFFFFFFFFFF
         return call
 
-    def _head(self, call: Call) -> bytes:
-        request = call.request
-        lines = [b'%b %b HTTP/1.1\r\n' % (request.method, request.target)]
-        skipped = self._own_headers
-        named: tuple[bytes, ...] = ()
-        for lower, name, value in request.headers:
-            if lower not in skipped:
-                lines.append(b'%b: %b\r\n' % (name, value))
-            elif lower == b'connection' and value:
-                named += tuple(
-                    part.strip().lower() for part in value.split(b',')
-                )
-        if len(named) > 1 or (named and named[0] not in _HOP_TOKENS):
-            lines = [lines[0]] + [
-                line
-                for line in lines[1:]
-                if line.partition(b':')[0].lower() not in named
-            ]
-        lines.append(self._caller_line)
-        if call.workspace:
-            lines.append(
-                b'%b: %b\r\n'
-                % (self._names.workspace, call.workspace.encode())
-            )
-        if request.has_body:
-            lines.append(b'Content-Length: %d\r\n' % len(request.body))
-        return b''.join(lines)
-
     def _begin(self, call: Call) -> None:
         if call.is_done:
             return
@@ -592,6 +542,3 @@
         if call.deadline is not None:
             call.deadline.cancel()
         self.in_flight -= 1
-
-
-_HOP_TOKENS = frozenset({b'keep-alive', b'close'})
--- a/packages/dataplane/src/turmericrouter_dataplane/gate.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate.py
@@ -4,11 +4,9 @@
 from collections.abc import Callable
 import dataclasses
 import enum
-import time
 
 from turmericrouter_core.verdict import Reason
 from turmericrouter_core.verdict import Verdict
-from turmericrouter_dataplane import http_client
 from turmericrouter_dataplane.decision_log import DecisionLog
 from turmericrouter_dataplane.dialect import HeaderNames
 from turmericrouter_dataplane.frames import Dispatch
@@ -19,17 +17,12 @@
 from turmericrouter_dataplane.policy.gate_queue import GateQueue
 from turmericrouter_dataplane.policy.target_chooser import TargetState
 from turmericrouter_dataplane.settings import Address
+from turmericrouter_dataplane.target_connections import TargetConnections
 from turmericrouter_dataplane.timers import Deadline
 from turmericrouter_dataplane.timers import TimerService
 
-CONNECT_TIMEOUT_S = 1.0
 # Slots are kept free where targets slow down when nearly all are taken.
 _LIMIT_SHARE = 0.94
-# Idle connections are reused within this time unless the target says less.
-_IDLE_REUSE_S = 4.0
-# A request that must not run twice gets a connection that was used just now,
-# since a reset of an older one leaves open whether the request has run.
-_SAFE_REUSE_S = 1.0
 _EXPIRY_GRACE_S = 0.15
 # Statuses by which callers take it that a request has not run.
 _PROMISES = frozenset({408, 421, 429, 503})
@@ -129,12 +122,9 @@
         self._queue: GateQueue[GateJob] = GateQueue(64)
         self._jobs: dict[bytes, GateJob] = {}
         self._running = 0
-        self._idle: list[HttpClientConnection] = []
-        self._connections: set[HttpClientConnection] = set()
+        self._connections = TargetConnections(headers)
         self._limit = 0
         self._max_connections = 0
-        self._dropped = frozenset({headers.load.lower()})
-        self._id_header = headers.request_id.lower()
         self._signature = headers.signature.lower()
         self._not_run = headers.not_run.lower()
 
@@ -182,7 +172,7 @@
         self._limit = max(1, int(target.slots * _LIMIT_SHARE))
         self._queue.capacity = max(8, self._limit)
         if before is not None and before.target_id != target.target_id:
-            self._close_idle()
+            self._connections.close_idle()
         if target.state is not TargetState.SERVING:
             for job in self._queue.clear():
                 self._refuse(job, Reason.TARGET_LEAVING)
@@ -225,14 +215,11 @@
 
     def prune(self) -> None:
         """Close connections that have been idle for long."""
-        oldest = time.monotonic() - _IDLE_REUSE_S
-        while self._idle and self._idle[0].idle_since < oldest:
-            self._idle.pop(0).close()
+        self._connections.prune()
 
     def stop(self) -> None:
         """Close all connections."""
-        for connection in list(self._connections):
-            connection.abort()
+        self._connections.stop()
 
     def _wait(self, job: GateJob) -> None:
         patience_s = min(
@@ -259,50 +246,25 @@
         self._running += 1
         if job.patience is not None:
             job.patience.cancel()
-        connection = self._take_idle(job.frame.is_idempotent)
+        connection = self._connections.take(job.frame.is_idempotent)
         if connection is not None:
             self._run(job, connection)
             return
         job.phase = _Phase.CONNECTING
         asyncio.ensure_future(self._connect(job))
 
-    def _take_idle(self, is_idempotent: bool) -> HttpClientConnection | None:
-        idle = self._idle
-        now = time.monotonic()
-        while idle:
-            connection = idle[-1]
-            age = now - connection.idle_since
-            longest = _IDLE_REUSE_S
-            if connection.keep_alive_s:
-                longest = min(longest, connection.keep_alive_s - 0.5)
-            if not connection.is_reusable or age > longest:
-                idle.pop().close()
-                continue
-            if not is_idempotent and age > min(_SAFE_REUSE_S, longest / 2):
-                return None
-            return idle.pop()
-        return None
-
     async def _connect(self, job: GateJob) -> None:
         target = self._target
         assert target is not None
         try:
-            connection = await http_client.connect(
-                target.address.ip,
-                target.address.port,
-                self._connections.discard,
-                timeout_s=CONNECT_TIMEOUT_S,
-                dropped_headers=self._dropped,
-                id_header=self._id_header,
-            )
+            connection = await self._connections.open(target.address)
         except (OSError, TimeoutError) as error:
             self._target_unreachable(target, error)
             if job.phase is not _Phase.DONE:
                 self._refuse(job, Reason.TARGET_UNREACHABLE)
             return
-        self._connections.add(connection)
         if job.phase is _Phase.DONE:
-            self._idle.append(connection)
+            self._connections.give_back(connection)
             return
         now_target = self._target
         if now_target is not None and now_target.target_id == target.target_id:
@@ -316,7 +278,7 @@
     ) -> None:
         if self._target is target and self._is_reachable:
             self._is_reachable = False
-            self._close_idle()
+            self._connections.close_idle()
             self._log.event(
                 'target_unreachable',
                 target=target.target_id,
@@ -333,7 +295,7 @@
         assert target is not None
         left_ms = int((job.expires_at - self._timers.now()) * 1000)
         if left_ms <= 0:
-            self._give_back(connection)
+            self._connections.give_back(connection)
             self._refuse(job, Reason.DEADLINE_EXPIRED)
             return
         names = self._names
@@ -387,7 +349,7 @@
             self._reply(job, Verdict.MAY_HAVE_RUN, reason, sent=True)
             return
         assert connection is not None
-        self._give_back(connection)
+        self._connections.give_back(connection)
         self._classify(job, result)
 
     def _classify(self, job: GateJob, answer: HttpAnswer) -> None:
@@ -432,31 +394,12 @@
     async def _check_crash(self, digest: int, target: LocalTarget) -> None:
         """Report the request if the target cannot be reached any more."""
         try:
-            connection = await http_client.connect(
-                target.address.ip,
-                target.address.port,
-                self._connections.discard,
-                timeout_s=CONNECT_TIMEOUT_S,
-                dropped_headers=self._dropped,
-                id_header=self._id_header,
-            )
+            connection = await self._connections.open(target.address)
         except (OSError, TimeoutError) as error:
             self._target_unreachable(target, error)
             self._on_crash(digest, target.target_id)
             return
-        self._connections.add(connection)
-        self._idle.append(connection)
-
-    def _give_back(self, connection: HttpClientConnection) -> None:
-        if connection.is_reusable:
-            self._idle.append(connection)
-        else:
-            connection.close()
-
-    def _close_idle(self) -> None:
-        idle, self._idle = self._idle, []
-        for connection in idle:
-            connection.close()
+        self._connections.give_back(connection)
 
     def _refuse(self, job: GateJob, reason: Reason) -> None:
         self._reply(job, Verdict.NOT_RUN, reason)
