Take a small share until the other hosts are known

Cause: read of the code: a host that has just started counted itself alone, so all hosts of a fleet that was killed at once could admit a whole burst each while the store was down. Ruled out: waiting with requests; most workspaces are far from their limit. Before and after: test_host_that_knows_no_other_one_takes_a_small_share fails before and passes after; 107 tests pass. Conclusion: the share of one in 32 hosts until the log's records are read.

--- a/packages/dataplane/src/turmericrouter_dataplane/host_directory.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/host_directory.py
@@ -57,6 +57,7 @@
                 on_own(record)
             else:
                 self._members.learn(record)
+        self._members.know_all()
         self._forget_missing({item.key for item in page.records})
 
     async def store(self) -> bool:
--- a/packages/dataplane/src/turmericrouter_dataplane/members.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/members.py
@@ -29,6 +29,9 @@
 from turmericrouter_dataplane.policy.workspace_quota import WorkspaceQuota
 
 BEAT_PERIOD_S = 1.0
+# A host that has just started and doesn't know the others yet takes the shares
+# of a fleet of this size, not those of a fleet of its own.
+_UNKNOWN_FLEET = 32
 # Beats get rarer beyond this number of hosts, so that a host's cost stays.
 _HOSTS_AT_FULL_PACE = 40
 # A host that was not heard for this many periods counts as cut off.
@@ -93,6 +96,9 @@
             TokenGrant: self._take_grant,
         }
         chooser.update(record)
+        self._least_hosts = _UNKNOWN_FLEET
+        quota.assume_hosts(_UNKNOWN_FLEET, time.monotonic())
+        self._share_budget()
 
     @property
     def record(self) -> HostRecord:
@@ -156,7 +162,7 @@
             self._chooser.update(record)
             self._quota.expect(record.name, time.monotonic())
             self._heard[record.name] = time.monotonic()
-            self._budget.set_hosts(len(self._chooser.views))
+            self._share_budget()
         elif time.monotonic() - view.heard_at > self.silence_s:
             self._chooser.update(record)
         self._pool.want(record.name, record.address)
@@ -169,9 +175,20 @@
         self._quota.forget(host, time.monotonic())
         self._heard.pop(host, None)
         self._pool.forget(host)
-        self._budget.set_hosts(len(self._chooser.views))
+        self._share_budget()
         self._log.event('host_left', peer=host)
 
+    def know_all(self) -> None:
+        """Learn that all hosts which the log names are known."""
+        if self._least_hosts > 1:
+            self._least_hosts = 1
+            self._quota.assume_hosts(1, time.monotonic())
+            self._share_budget()
+
+    def _share_budget(self) -> None:
+        hosts = len(self._chooser.views)
+        self._budget.set_hosts(max(hosts, self._least_hosts))
+
     def silent(self, longer_than_s: float) -> list[str]:
         """Return the hosts that were not heard for some time."""
         oldest = time.monotonic() - longer_than_s
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/workspace_quota.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/workspace_quota.py
@@ -57,6 +57,7 @@
     """
 
     def __init__(self) -> None:
+        self._least_hosts = 1
         self._limits: dict[str, tuple[float, float]] = {}
         self._buckets: dict[str, _Bucket] = {}
         self._peers: dict[str, _Peer] = {}
@@ -77,6 +78,12 @@
         for name in self._limits:
             self._divide(name, now)
 
+    def assume_hosts(self, count: int, now: float) -> None:
+        """Take the fleet to have at least this many hosts."""
+        self._least_hosts = count
+        for name in self._limits:
+            self._divide(name, now)
+
     def admit(self, workspace: str, now: float) -> float:
         """Take a token.
 
@@ -285,6 +292,7 @@
             else:
                 available -= peer.frozen_shares.get(name, 0.0)
         available = max(0.0, available)
+        hosts = max(hosts, self._least_hosts)
         spare = rate * available - total
         if spare >= 0:
             return (demand + spare / hosts) / rate
--- a/tests/dataplane/test_workspace_quota.py
+++ b/tests/dataplane/test_workspace_quota.py
@@ -136,6 +136,16 @@
     assert not changes
 
 
+def test_host_that_knows_no_other_one_takes_a_small_share() -> None:
+    quota = WorkspaceQuota()
+    quota.assume_hosts(32, 0.0)
+    quota.configure((make_workspace(rate_per_s=100, burst=100),), 0.0)
+    waits = [quota.admit('east', 0.0) for _ in range(100)]
+    assert waits.count(0.0) <= 4
+    quota.assume_hosts(1, 0.0)
+    assert quota.share('east') == 1.0
+
+
 def test_host_that_left_gives_its_share_back() -> None:
     fleet = Fleet()
     quota = fleet.quotas['a']
