Add a fault soak of the platform's path

Real daemons run behind loopback proxies that delay, silence one direction, cut failure domains and reset; signals kill, stop, pause and reload them; the store is slow, busy, loses answers and forgets; upstreams crash, drain, slow down and reject. A host may advertise another address than it listens on, which the proxies need.

Clocks are not touched: the request path reads the time of day for log stamps alone.

--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,7 @@
 	$(PYTHON) demo/platform_path.py
 
 soak: env
+	PYTHONPATH=$(PYTHONPATH):tests/platform $(PYTHON) tests/platform/platform_soak.py --seed $(SEED) --seconds $(SECONDS)
 	$(PYTHON) -m turmericrouter_standins.soak --seed $(SEED) --seconds $(SECONDS)
 
 bench: env
--- a/packages/dataplane/src/turmericrouter_dataplane/application.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/application.py
@@ -63,7 +63,16 @@
 
 # Settings that only a new process takes up.
 _FIXED_SETTINGS = frozenset(
-    {'host', 'domain', 'callers', 'ready', 'control', 'peers', 'metrics'}
+    {
+        'host',
+        'domain',
+        'callers',
+        'ready',
+        'control',
+        'peers',
+        'advertised',
+        'metrics',
+    }  # fmt: skip
 )
 
 
@@ -198,7 +207,7 @@
         settings = self._settings
         record = HostRecord(
             settings.host,
-            str(settings.peers),
+            str(settings.advertised),
             settings.domain,
             settings.service,
         )
--- a/packages/dataplane/src/turmericrouter_dataplane/settings.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/settings.py
@@ -39,6 +39,7 @@
         ready: Listener for the readiness check.
         control: Listener for announcements of the target.
         peers: Listener for other daemons.
+        advertised: Address under which other daemons reach that listener.
         metrics: Listener for metrics.
         log_service: Address of the platform's log service.
         stop_within_s: Time after SIGTERM until the process is killed.
@@ -54,6 +55,7 @@
     ready: Address
     control: Address
     peers: Address
+    advertised: Address
     metrics: Address
     log_service: Address
     stop_within_s: float
--- /dev/null
+++ b/tests/platform/fault_proxy.py
@@ -0,0 +1,125 @@
+"""Loopback proxies that delay, silence, cut and reset connections."""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+
+from turmericrouter_core.errors import ProtocolError
+from turmericrouter_dataplane.frames import FrameReader
+from turmericrouter_dataplane.frames import Status
+
+_CHUNK_BYTES = 65_536
+
+
+class FaultProxy:
+    """Forwards one port to another, with faults that are switched on.
+
+    Args:
+        port: Port that it listens on.
+        target_port: Port that it forwards to.
+        is_cut: Returns whether connections from a host are cut; their bytes
+            are held back in both directions.
+    """
+
+    def __init__(
+        self,
+        port: int,
+        target_port: int,
+        is_cut: Callable[[str], bool] = lambda source: False,
+    ) -> None:
+        self._port = port
+        self._target_port = target_port
+        self._is_cut = is_cut
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.delay_s = 0.0
+        # Bytes to the listener, and bytes from it, that go nowhere.
+        self.is_deaf = False
+        self.is_mute = False
+
+    async def start(self) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(
+            self._accept, '127.0.0.1', self._port
+        )
+
+    def stop(self) -> None:
+        """Close the listener and all connections."""
+        if self._server is not None:
+            self._server.close()
+        self.reset()
+        for task in self._tasks:
+            task.cancel()
+
+    def reset(self) -> None:
+        """Reset all open connections."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            far = await asyncio.open_connection('127.0.0.1', self._target_port)
+        except OSError:
+            writer.transport.abort()
+            return
+        source = _Source()
+        pumps = [
+            asyncio.create_task(self._pump(reader, far[1], source, True)),
+            asyncio.create_task(self._pump(far[0], writer, source, False)),
+        ]
+        self._writers |= {writer, far[1]}
+        self._tasks.update(pumps)
+        await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+        for each in (writer, far[1]):
+            self._writers.discard(each)
+            each.transport.abort()
+        for pump in pumps:
+            pump.cancel()
+            self._tasks.discard(pump)
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        source: '_Source',
+        is_inbound: bool,
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(_CHUNK_BYTES):
+                if is_inbound:
+                    source.feed(data)
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                while self._holds(source.host, is_inbound):
+                    await asyncio.sleep(0.02)
+                writer.write(data)
+                await writer.drain()
+
+    def _holds(self, host: str, is_inbound: bool) -> bool:
+        silent = self.is_deaf if is_inbound else self.is_mute
+        return silent or self._is_cut(host)
+
+
+class _Source:
+    """Host that has opened a connection, read from its first frame."""
+
+    def __init__(self) -> None:
+        self.host = ''
+        self._reader: FrameReader | None = FrameReader()
+
+    def feed(self, data: bytes) -> None:
+        """Read on until the host is known."""
+        if self._reader is None:
+            return
+        try:
+            for frame in self._reader.feed(data):
+                if isinstance(frame, Status):
+                    self.host = frame.host.name
+                self._reader = None
+                return
+        except ProtocolError:
+            # Not a link between daemons.
+            self._reader = None
--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -22,7 +22,7 @@
 ROOT = pathlib.Path(__file__).parents[2]
 KEY = 'key-of-east'
 _START_S = 20.0
-_PORTS_A_HOST = 8
+_PORTS_A_HOST = 10
 # First ports of the hosts of this process; they are not bound all the time.
 _taken: set[int] = set()
 
@@ -84,6 +84,8 @@
         store_port: Port of the store.
         folder: Where settings and output are kept.
         domain: Failure domain of the host.
+        has_proxies: Whether peers and the store are reached through the
+            ports `peer_proxy_port` and `store_proxy_port`.
     """
 
     def __init__(
@@ -93,14 +95,21 @@
         store_port: int,
         folder: pathlib.Path,
         domain: str = 'north',
+        *,
+        has_proxies: bool = False,
     ) -> None:
         self.name = name
+        self.service = service
+        self.domain = domain
         names = ('outbound', 'ready', 'control', 'inbound', 'app', 'peers',
-                 'metrics')  # fmt: skip
+                 'metrics', 'peer_proxy', 'store_proxy')  # fmt: skip
         ports = dict(zip(names, _free_ports(len(names)), strict=True))
         self.port = ports['outbound']
         self.ready_port = ports['ready']
+        self.peers_port = ports['peers']
         self.metrics_port = ports['peers'] + 1
+        self.peer_proxy_port = ports['peer_proxy']
+        self.store_proxy_port = ports['store_proxy']
         self.settings = folder / f'{name}.toml'
         self.output = folder / f'{name}.log'
         self.process: subprocess.Popen[bytes] | None = None
@@ -119,8 +128,16 @@
             f'app_addr = "127.0.0.1:{ports["app"]}"\n'
             'bounds = ["grace_s=6", "retry_slack=49"]\n'
             f'[listen]\n{listen}\n'
-            f'[platform]\naddress = "127.0.0.1:{store_port}"\n'
+            f'[platform]\naddress = "127.0.0.1:'
+            f'{self.store_proxy_port if has_proxies else store_port}"\n'
         )
+        if has_proxies:
+            with self.settings.open('a') as settings:
+                settings.write(
+                    '[turmericrouter]\nadvertise = '
+                    f'"127.0.0.1:{self.peer_proxy_port}"\n'
+                )
+        self.upstream.nested_port = self.port
 
     def launch(self) -> None:
         """Start the daemon."""
@@ -144,6 +161,12 @@
         assert self.process is not None
         self.process.send_signal(number)
 
+    def kill(self) -> None:
+        """Kill the daemon if it runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+
     async def exited(self) -> int:
         """Wait for the daemon's end and return its exit status."""
         assert self.process is not None
@@ -283,8 +306,6 @@
     finally:
         await fleet.close()
         for host in hosts:
-            if host.process is not None and host.process.poll() is None:
-                host.process.kill()
-                host.process.wait()
+            host.kill()
             await host.upstream.stop()
         await store.stop()
--- /dev/null
+++ b/tests/platform/soak_checks.py
@@ -0,0 +1,312 @@
+"""Promises that a soak checks, by what callers and upstreams saw."""
+
+import bisect
+import collections
+from collections.abc import Iterable
+from collections.abc import Sequence
+import dataclasses
+import re
+
+from standin_upstream import Arrival
+
+QUOTA_WINDOW_S = 5.0
+QUOTA_OVERAGE = 0.1
+QUOTA_SLACK = 20
+BUDGET_WINDOW_S = 10.0
+BUDGET_RATIO = 0.2
+# Statuses that promise that a request has not run and never will.
+NOT_RUN = frozenset({408, 421, 429, 503})
+
+
+@dataclasses.dataclass
+class Attempt:
+    """One request of a caller and its end.
+
+    Args:
+        request_id: Id that the caller gave it.
+        path: Path with query.
+        workspace: Workspace of its key.
+        host: Host that it was sent to.
+        is_idempotent: Whether it may run more than once.
+        sent_at: Monotonic seconds.
+        ended_at: When its answer was there or the connection had ended.
+        status: Status of the answer, 0 if there was none.
+        body: Body of the answer.
+        error: Why there was no answer.
+    """
+
+    request_id: str
+    path: str
+    workspace: str
+    host: str
+    is_idempotent: bool
+    sent_at: float
+    ended_at: float = 0.0
+    status: int = 0
+    body: bytes = b''
+    error: str = ''
+
+
+@dataclasses.dataclass(frozen=True)
+class Span:
+    """A span of monotonic seconds."""
+
+    begin: float
+    end: float
+
+    def overlaps(self, begin: float, end: float) -> bool:
+        """Return whether another span shares a moment with this one."""
+        return self.begin <= end and begin <= self.end
+
+
+def check_answers(attempts: Iterable[Attempt]) -> list[str]:
+    """Return successes that are not the answer to their own request."""
+    return [
+        f'{a.request_id} got {a.body[:40]!r}'
+        for a in attempts
+        if a.status == 200 and a.body != b'answer to ' + a.request_id.encode()
+    ]
+
+
+def check_single_runs(
+    attempts: Iterable[Attempt], arrivals: Iterable[Arrival]
+) -> list[str]:
+    """Return requests that must not run twice and did."""
+    runs = _runs(arrivals)
+    return [
+        f'{a.request_id} ran {runs[a.request_id]} times'
+        for a in attempts
+        if not a.is_idempotent and runs[a.request_id] > 1
+    ]
+
+
+def check_refusals(
+    attempts: Iterable[Attempt], arrivals: Iterable[Arrival]
+) -> list[str]:
+    """Return refused requests that must not run twice and have run."""
+    runs = _runs(arrivals)
+    return [
+        f'{a.request_id} got {a.status} and has run'
+        for a in attempts
+        if a.status in NOT_RUN and not a.is_idempotent and runs[a.request_id]
+    ]
+
+
+def check_asked(
+    attempts: Iterable[Attempt],
+    arrivals: Iterable[Arrival],
+    services: dict[str, str],
+) -> list[str]:
+    """Return runs that no caller asked for, or that were changed.
+
+    Args:
+        attempts: What callers sent.
+        arrivals: What upstreams got.
+        services: Service on each host.
+    """
+    sent = {a.request_id: a for a in attempts}
+    problems = []
+    for arrival in arrivals:
+        if not arrival.has_run or '.' in arrival.request_id:
+            continue
+        attempt = sent.get(arrival.request_id)
+        if attempt is None:
+            problems.append(f'{arrival.request_id} was never sent')
+            continue
+        wanted = (attempt.path, attempt.workspace, services[attempt.host])
+        got = (arrival.path, arrival.workspace, arrival.caller_service)
+        if wanted != got:
+            problems.append(f'{arrival.request_id}: {got} is not {wanted}')
+        if arrival.has_key:
+            problems.append(f'{arrival.request_id} came with its key')
+    return problems
+
+
+def check_quota(
+    arrivals: Iterable[Arrival], limits: dict[str, tuple[float, float]]
+) -> list[str]:
+    """Return workspaces that ran more than their limit in a window.
+
+    Args:
+        arrivals: What upstreams got.
+        limits: Rate a second and burst by workspace.
+    """
+    problems = []
+    for name, (rate, burst) in limits.items():
+        times = sorted(
+            a.at for a in arrivals if a.has_run and a.workspace == name
+        )
+        most = (rate * QUOTA_WINDOW_S + burst) * (1 + QUOTA_OVERAGE)
+        most += QUOTA_SLACK
+        for index, at in enumerate(times):
+            count = bisect.bisect_right(times, at + QUOTA_WINDOW_S) - index
+            if count > most:
+                problems.append(f'{name} ran {count} in 5 s, not {most:.0f}')
+                break
+    return problems
+
+
+def check_budget(arrivals: Iterable[Arrival], slack: float) -> list[str]:
+    """Return services that got more repeats than the fleet may make."""
+    by_service: dict[str, list[Arrival]] = collections.defaultdict(list)
+    for arrival in sorted(arrivals, key=lambda a: a.at):
+        by_service[arrival.service].append(arrival)
+    problems = []
+    for service, mine in by_service.items():
+        seen: set[str] = set()
+        firsts: list[float] = []
+        repeats: list[float] = []
+        for arrival in mine:
+            is_first = arrival.request_id not in seen
+            (firsts if is_first else repeats).append(arrival.at)
+            seen.add(arrival.request_id)
+        worst = max((_excess(at, firsts, repeats) for at in repeats),
+                    default=0.0)  # fmt: skip
+        if worst > slack:
+            problems.append(f'{service} got {worst:.0f} repeats too many')
+    return problems
+
+
+def check_drained(
+    arrivals: Iterable[Arrival],
+    drained: dict[str, float],
+    drain_s: float,
+) -> list[str]:
+    """Return requests that reached an upstream after it had left.
+
+    Args:
+        arrivals: What upstreams got.
+        drained: When the leaving of an upstream was acknowledged, by id.
+        drain_s: Time that is left for requests on their way.
+    """
+    return [
+        f'{a.request_id} reached {a.upstream_id} '
+        f'{a.at - drained[a.upstream_id]:.2f} s after it left'
+        for a in arrivals
+        if a.upstream_id in drained and a.at > drained[a.upstream_id] + drain_s
+    ]
+
+
+def check_planned_stops(
+    attempts: Iterable[Attempt],
+    stops: Sequence[tuple[str, Span]],
+    unplanned: Sequence[Span],
+    margin_s: float,
+) -> list[str]:
+    """Return requests that a planned stop has cut.
+
+    Args:
+        attempts: What callers sent.
+        stops: Host and span of each planned stop.
+        unplanned: Spans of all other faults.
+        margin_s: Time after a fault in which its effects may be seen.
+    """
+    problems = []
+    for attempt in attempts:
+        if not attempt.error:
+            continue
+        begin, end = attempt.sent_at - margin_s, attempt.ended_at
+        if any(span.overlaps(begin, end) for span in unplanned):
+            continue
+        problems += [
+            f'{attempt.request_id} to {host} ended with {attempt.error}'
+            for host, span in stops
+            if host == attempt.host
+            and span.overlaps(attempt.sent_at, attempt.ended_at)
+        ]
+    return problems
+
+
+def check_version_order(
+    attempts: Iterable[Attempt],
+    published: dict[int, float],
+    starts: dict[str, list[float]],
+    slack_s: float,
+) -> list[str]:
+    """Return requests that a daemon handled by an older version again.
+
+    Args:
+        attempts: What callers sent; `/vN/` is a route of version N alone.
+        published: When each version was published.
+        starts: When each host's daemon was started.
+        slack_s: Time in which requests of two versions may overlap.
+    """
+    problems = []
+    seen: dict[tuple[str, int, int], float] = {}
+    for a in sorted(attempts, key=lambda each: each.ended_at):
+        version = _version(a.path)
+        if not version or a.error or not a.path.startswith('/v'):
+            continue
+        daemon = bisect.bisect_right(starts[a.host], a.sent_at)
+        key = (a.host, daemon, version)
+        if a.status == 200:
+            seen.setdefault(key, a.ended_at)
+        elif (
+            a.status == 404
+            and a.sent_at > seen.get(key, float('inf')) + slack_s
+            and a.ended_at < published.get(version + 1, float('inf'))
+        ):
+            problems.append(f'{a.request_id}: {a.host} has lost v{version}')
+    return problems
+
+
+def check_versions_applied(
+    attempts: Iterable[Attempt],
+    published: dict[int, float],
+    faults: Sequence[Span],
+    *,
+    apply_s: float,
+    stable_s: float,
+) -> list[str]:
+    """Return requests that a calm fleet handled by too old a version.
+
+    Args:
+        attempts: What callers sent; `/vN/` is a route of version N alone,
+            and the key of `/read/key-N` is one of version N alone.
+        published: When each version was published.
+        faults: Spans of faults and of planned stops.
+        apply_s: Time until a version is in force.
+        stable_s: Time without faults from which on that holds.
+    """
+    problems = []
+    for a in attempts:
+        is_route = a.path.startswith('/v')
+        version = _version(a.path)
+        if not version or a.status != (404 if is_route else 200):
+            continue
+        # The version that the request is handled by at the least.
+        needed = version if is_route else version + 1
+        published_at = published.get(needed, float('inf'))
+        if a.sent_at < published_at + apply_s:
+            continue
+        if is_route and a.ended_at > published.get(needed + 1, float('inf')):
+            continue
+        begin = published_at - stable_s
+        if not any(span.overlaps(begin, a.ended_at) for span in faults):
+            problems.append(f'{a.request_id}: {a.host} lacks v{needed}')
+    return problems
+
+
+_VERSION = re.compile(r'/(?:v|read/key-)(\d+)')
+
+
+def _version(path: str) -> int:
+    match = _VERSION.match(path)
+    return int(match[1]) if match else 0
+
+
+def _runs(arrivals: Iterable[Arrival]) -> collections.Counter[str]:
+    return collections.Counter(a.request_id for a in arrivals if a.has_run)
+
+
+def _excess(at: float, firsts: list[float], repeats: list[float]) -> float:
+    """Return the repeats in the window from a moment on beyond the ratio."""
+    count = _within(repeats, at)
+    windows = (at, at - BUDGET_WINDOW_S, at - BUDGET_WINDOW_S / 2)
+    requests = max(_within(firsts, begin) for begin in windows)
+    return count - BUDGET_RATIO * requests
+
+
+def _within(times: list[float], begin: float) -> int:
+    last = bisect.bisect_right(times, begin + BUDGET_WINDOW_S)
+    return last - bisect.bisect_left(times, begin)
--- /dev/null
+++ b/tests/platform/soak_faults.py
@@ -0,0 +1,304 @@
+"""Random faults of a fleet of real daemons, from outside the processes."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+import dataclasses
+import random
+import signal
+import time
+
+import aiohttp
+
+from fault_proxy import FaultProxy
+from platform_fleet import Fleet
+from platform_fleet import Host
+from soak_checks import Span
+from standin_store import Fault
+
+GRACE_S = 6.0
+_SHORTEST_GAP_S = 0.3
+_LONGEST_GAP_S = 2.5
+_DRAIN_S = 2.0
+
+
+@dataclasses.dataclass
+class FaultRecord:
+    """What was done to the fleet.
+
+    Args:
+        applied: Names of the faults in order.
+        unplanned: Spans of faults that are no planned work.
+        stops: Host and span of each planned stop.
+        drained: When the leaving of an upstream was acknowledged, by id.
+        starts: Times at which each host's daemon was started.
+        problems: What went wrong with a process.
+    """
+
+    applied: list[str] = dataclasses.field(default_factory=list)
+    unplanned: list[Span] = dataclasses.field(default_factory=list)
+    stops: list[tuple[str, Span]] = dataclasses.field(default_factory=list)
+    drained: dict[str, float] = dataclasses.field(default_factory=dict)
+    starts: dict[str, list[float]] = dataclasses.field(default_factory=dict)
+    problems: list[str] = dataclasses.field(default_factory=list)
+
+
+class FaultInjector:
+    """Applies faults that overlap, then heals all of them.
+
+    Args:
+        fleet: Running fleet.
+        peer_proxies: Proxy in front of each host's peer listener.
+        store_proxies: Proxy between each host and the store.
+        cuts: Pairs of failure domains that are cut; read by the proxies.
+        rng: Source of faults, victims and times.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        peer_proxies: dict[str, FaultProxy],
+        store_proxies: dict[str, FaultProxy],
+        cuts: set[frozenset[str]],
+        rng: random.Random,
+    ) -> None:
+        self._fleet = fleet
+        self._peer_proxies = peer_proxies
+        self._store_proxies = store_proxies
+        self._cuts = cuts
+        self._rng = rng
+        self._busy: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._next_upstream = 0
+        self.record = FaultRecord()
+        self.faults: dict[str, Callable[[], Awaitable[None]]] = {
+            'kill': self._kill,
+            'kill_all': self._kill_all,
+            'stop': self._stop,
+            'pause': self._pause,
+            'hup': self._hup,
+            'reset_links': self._reset_links,
+            'delay_links': self._delay_links,
+            'one_way': self._one_way,
+            'cut_domains': self._cut_domains,
+            'cut_store': self._cut_store,
+            'break_store': self._break_store,
+            'compact_store': self._compact_store,
+            'crash_upstream': self._crash_upstream,
+            'slow_upstream': self._slow_upstream,
+            'grey_upstream': self._grey_upstream,
+            'drain_upstream': self._drain_upstream,
+        }
+
+    async def run(self, seconds: float, names: list[str]) -> None:
+        """Apply faults for some seconds and wait until all are healed.
+
+        Args:
+            seconds: Time in which faults begin.
+            names: Faults to choose from.
+        """
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            gap_s = self._rng.uniform(_SHORTEST_GAP_S, _LONGEST_GAP_S)
+            await asyncio.sleep(gap_s)
+            name = self._rng.choice(names)
+            self.record.applied.append(name)
+            task = asyncio.create_task(self._apply(name))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        await asyncio.gather(*self._tasks)
+
+    def launch(self, host: Host) -> None:
+        """Start a host's daemon."""
+        host.launch()
+        starts = self.record.starts.setdefault(host.name, [])
+        starts.append(time.monotonic())
+
+    async def _apply(self, name: str) -> None:
+        try:
+            await self.faults[name]()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            # The daemon beside an upstream that leaves may be gone itself.
+            return
+
+    @contextlib.contextmanager
+    def _unplanned(self) -> Iterator[None]:
+        begin = time.monotonic()
+        # Open until healed, so that checks during the run see it.
+        self.record.unplanned.append(Span(begin, float('inf')))
+        position = len(self.record.unplanned) - 1
+        try:
+            yield
+        finally:
+            span = Span(begin, time.monotonic())
+            self.record.unplanned[position] = span
+
+    @contextlib.contextmanager
+    def _victim(self) -> Iterator[Host | None]:
+        """Choose a host that no other fault has taken, if there is one."""
+        free = [h for h in self._fleet.hosts if h.name not in self._busy]
+        if not free:
+            yield None
+            return
+        host = self._rng.choice(free)
+        self._busy.add(host.name)
+        try:
+            yield host
+        finally:
+            self._busy.discard(host.name)
+
+    async def _pass(self, shortest_s: float, longest_s: float) -> None:
+        await asyncio.sleep(self._rng.uniform(shortest_s, longest_s))
+
+    async def _kill(self) -> None:
+        with self._victim() as host, self._unplanned():
+            if host is None:
+                return
+            host.kill()
+            await self._pass(0.1, 3.0)
+            self.launch(host)
+
+    async def _kill_all(self) -> None:
+        free = [h for h in self._fleet.hosts if h.name not in self._busy]
+        self._busy.update(host.name for host in free)
+        with self._unplanned():
+            for host in free:
+                host.kill()
+            await self._pass(0.2, 1.5)
+            for host in free:
+                self.launch(host)
+                self._busy.discard(host.name)
+
+    async def _stop(self) -> None:
+        with self._victim() as host:
+            if host is None or host.process is None:
+                return
+            begin = time.monotonic()
+            self.record.stops.append((host.name, Span(begin, float('inf'))))
+            position = len(self.record.stops) - 1
+            host.signal(signal.SIGTERM)
+            status = await host.exited()
+            end = time.monotonic()
+            self.record.stops[position] = (host.name, Span(begin, end))
+            if status != 0 or end - begin > GRACE_S:
+                self.record.problems.append(
+                    f'{host.name} ended with {status} after {end - begin:.1f}'
+                )
+            await self._pass(0.1, 1.0)
+            self.launch(host)
+
+    async def _pause(self) -> None:
+        with self._victim() as host, self._unplanned():
+            if host is None:
+                return
+            host.signal(signal.SIGSTOP)
+            await self._pass(0.3, 5.0)
+            host.signal(signal.SIGCONT)
+
+    async def _hup(self) -> None:
+        with self._victim() as host:
+            if host is not None:
+                host.signal(signal.SIGHUP)
+
+    async def _reset_links(self) -> None:
+        with self._victim() as host, self._unplanned():
+            if host is not None:
+                self._peer_proxies[host.name].reset()
+
+    async def _delay_links(self) -> None:
+        with self._victim() as host, self._unplanned():
+            if host is None:
+                return
+            proxy = self._peer_proxies[host.name]
+            proxy.delay_s = self._rng.uniform(0.01, 0.4)
+            await self._pass(0.5, 5.0)
+            proxy.delay_s = 0.0
+
+    async def _one_way(self) -> None:
+        """Let a host's links pass bytes in one direction only."""
+        with self._victim() as host, self._unplanned():
+            if host is None:
+                return
+            proxy = self._peer_proxies[host.name]
+            if self._rng.random() < 0.5:
+                proxy.is_deaf = True
+            else:
+                proxy.is_mute = True
+            await self._pass(0.5, 5.0)
+            proxy.is_deaf = proxy.is_mute = False
+
+    async def _cut_domains(self) -> None:
+        domains = sorted({host.domain for host in self._fleet.hosts})
+        pair = frozenset(self._rng.sample(domains, 2))
+        with self._unplanned():
+            self._cuts.add(pair)
+            await self._pass(1.0, 8.0)
+            self._cuts.discard(pair)
+
+    async def _cut_store(self) -> None:
+        with self._victim() as host, self._unplanned():
+            if host is None:
+                return
+            proxy = self._store_proxies[host.name]
+            proxy.is_deaf = True
+            await self._pass(1.0, 8.0)
+            proxy.is_deaf = False
+
+    async def _break_store(self) -> None:
+        store = self._fleet.store
+        if store.fault is not Fault.NONE:
+            return
+        kinds = (Fault.BUSY, Fault.RESET, Fault.SLOW, Fault.LOSE_ANSWERS)
+        with self._unplanned():
+            store.fault = self._rng.choice(kinds)
+            await self._pass(1.0, 8.0)
+            store.fault = Fault.NONE
+
+    async def _compact_store(self) -> None:
+        for topic in list(self._fleet.store.records):
+            self._fleet.store.compact(topic)
+
+    async def _crash_upstream(self) -> None:
+        with self._victim() as host, self._unplanned():
+            if host is not None:
+                await host.upstream.stop()
+                await self._pass(0.2, 2.0)
+                await host.upstream.restart(self._new_id(host))
+
+    async def _slow_upstream(self) -> None:
+        with self._victim() as host, self._unplanned():
+            if host is None:
+                return
+            before = host.upstream.work_s
+            host.upstream.work_s = self._rng.uniform(0.1, 1.5)
+            await self._pass(0.5, 4.0)
+            host.upstream.work_s = before
+
+    async def _grey_upstream(self) -> None:
+        with self._victim() as host, self._unplanned():
+            if host is None:
+                return
+            host.upstream.failing_share = self._rng.uniform(0.2, 0.8)
+            await self._pass(0.5, 4.0)
+            host.upstream.failing_share = 0.0
+
+    async def _drain_upstream(self) -> None:
+        """Replace an upstream in the planned way."""
+        with self._victim() as host:
+            if host is None:
+                return
+            upstream = host.upstream
+            if await upstream.drain() == 200:
+                left = self.record.drained
+                left[upstream.upstream_id] = time.monotonic()
+            await asyncio.sleep(_DRAIN_S + 0.5)
+            await upstream.depart()
+            with self._unplanned():
+                await upstream.stop()
+                await upstream.restart(self._new_id(host))
+
+    def _new_id(self, host: Host) -> str:
+        self._next_upstream += 1
+        return f'i-{host.name}-{self._next_upstream}'
--- a/tests/platform/standin_store.py
+++ b/tests/platform/standin_store.py
@@ -7,6 +7,8 @@
 
 from aiohttp import web
 
+SLOW_ANSWER_S = 0.8
+
 
 class Fault(enum.Enum):
     """What the store does to calls."""
@@ -14,6 +16,7 @@
     NONE = 'none'
     BUSY = 'busy'
     RESET = 'reset'
+    SLOW = 'slow'
     LOSE_ANSWERS = 'lose-answers'
 
 
@@ -58,6 +61,8 @@
 
     async def _check(self, request: web.Request) -> web.Response | None:
         self.calls += 1
+        if self.fault is Fault.SLOW:
+            await asyncio.sleep(SLOW_ANSWER_S)
         if self.fault is Fault.BUSY:
             return web.Response(status=503)
         if self.fault is Fault.RESET:
--- a/tests/platform/standin_upstream.py
+++ b/tests/platform/standin_upstream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import random
 import time
 
 import aiohttp
@@ -18,6 +19,21 @@
     body: bytes
 
 
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """What reached an upstream, also if it was rejected."""
+
+    at: float
+    request_id: str
+    path: str
+    workspace: str
+    caller_service: str
+    has_key: bool
+    service: str
+    upstream_id: str
+    has_run: bool
+
+
 class StandinUpstream:
     """Serves requests, checks in with its daemon, and leaves.
 
@@ -34,6 +50,10 @@
         self.upstream_id = upstream_id
         self.service = service
         self.runs: list[Run] = []
+        self.arrivals: list[Arrival] = []
+        # Where the calls of requests under `/nested/` go.
+        self.nested_port = 0
+        self.failing_share = 0.0
         self.broken_off = 0
         self.work_s = 0.0
         self.slots = 20
@@ -66,6 +86,24 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    async def restart(self, upstream_id: str) -> None:
+        """Start anew under another id, after a stop."""
+        self.upstream_id = upstream_id
+        self.state = 'ready'
+        self._sequence = 0
+        self._born = int(time.time() * 1000)
+        await self.start()
+
+    async def depart(self) -> None:
+        """Say that it is gone."""
+        url = f'http://{self._control}/-/instances/{self.upstream_id}'
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.delete(url),
+        ):
+            pass
+
     async def drain(self) -> int:
         """Report that it leaves, and return the status of the reply."""
         self.state = 'draining'
@@ -108,7 +146,9 @@
             return web.Response(
                 status=421, headers={'X-Instance-Id': self.upstream_id}
             )
-        if self.is_shedding:
+        is_rejected = self.is_shedding or random.random() < self.failing_share
+        self._note(request, request_id, not is_rejected)
+        if is_rejected:
             return web.Response(status=503, headers={'X-Not-Executed': '1'})
         body = await request.read()
         headers = dict(request.headers)
@@ -121,7 +161,48 @@
         except asyncio.CancelledError:
             self.broken_off += 1
             raise
+        if 'nested' in request.path and not await self._call_on(request_id):
+            return self._answer(request_id, 500)
+        return self._answer(request_id)
+
+    def _note(
+        self, request: web.Request, request_id: str, has_run: bool
+    ) -> None:
+        headers = request.headers
+        self.arrivals.append(
+            Arrival(
+                time.monotonic(),
+                request_id,
+                request.raw_path,
+                headers.get('X-Tenant', ''),
+                headers.get('X-Caller-Service', ''),
+                'Authorization' in headers,
+                self.service,
+                self.upstream_id,
+                has_run,
+            )
+        )
+
+    async def _call_on(self, request_id: str) -> bool:
+        """Make a call of its own through its daemon."""
+        headers = {
+            'Host': 'api.example',
+            'X-Request-Id': f'{request_id}.1',
+            'X-Request-Deadline': '2000',
+        }
+        url = f'http://127.0.0.1:{self.nested_port}/open/call'
+        try:
+            async with (
+                aiohttp.ClientSession() as session,
+                session.get(url, headers=headers) as answer,
+            ):
+                return answer.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    def _answer(self, request_id: str, status: int = 200) -> web.Response:
         return web.Response(
+            status=status,
             body=b'answer to ' + request_id.encode(),
             headers={
                 'X-Request-Id': request_id,
