--- a/packages/dataplane/src/turmericrouter_dataplane/dispatcher.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/dispatcher.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 import random
-from typing import Any
 
 import xxhash
 
@@ -17,7 +16,6 @@
 from turmericrouter_dataplane.frames import Outcome
 from turmericrouter_dataplane.gate import Gate
 from turmericrouter_dataplane.http_server import HttpRequest
-from turmericrouter_dataplane.http_server import status_line
 from turmericrouter_dataplane.links import Link
 from turmericrouter_dataplane.metrics import Metrics
 from turmericrouter_dataplane.model import FleetConfig
@@ -31,6 +29,7 @@
 from turmericrouter_dataplane.policy.route_table import RouteTable
 from turmericrouter_dataplane.policy.target_chooser import TargetChooser
 from turmericrouter_dataplane.policy.workspace_quota import WorkspaceQuota
+from turmericrouter_dataplane.refusals import Refusals
 from turmericrouter_dataplane.request_head import RequestHeads
 from turmericrouter_dataplane.timers import TimerService
 from turmericrouter_dataplane.token_exchange import TokenExchange
@@ -48,13 +47,6 @@
 _LEVELS = 4
 _AUTHORIZATION = b'authorization'
 _BEARER = b'bearer '
-_STATUS_OF_REASON = {
-    Reason.KEY_MISSING: 401,
-    Reason.KEY_UNKNOWN: 401,
-    Reason.ROUTE_UNKNOWN: 404,
-    Reason.QUOTA_EXCEEDED: 429,
-}
-
 LinkLookup = Callable[[str], Link | None]
 
 
@@ -115,6 +107,7 @@
         self._log = log
         self._metrics = metrics
         self._rng = rng
+        self._refusals = Refusals(log, metrics, rng)
         self._names = headers
         self._id_name = headers.request_id.lower()
         self._deadline_name = headers.deadline_ms.lower()
@@ -129,27 +122,30 @@
     def set_config(self, config: FleetConfig) -> None:
         """Put a configuration in force."""
         self._table = RouteTable(config, self._table)
+        self._refusals.config_version = config.version
         self._quota.configure(config.workspaces, self._timers.now())
 
     def handle(self, request: HttpRequest) -> None:
         """Start to serve a request."""
         table = self._table
         if table is None:
-            self._refuse_early(request, Reason.CONFIG_STALE)
+            self._refusals.refuse_early(request, Reason.CONFIG_STALE)
             return
         values = {lower: value for lower, _, value in request.headers}
         request_id = values.get(self._id_name, b'')
         authorization = values.get(_AUTHORIZATION, b'')
         route = table.find(values.get(b'host', b''), request.target)
         if route is None:
-            self._refuse_early(request, Reason.ROUTE_UNKNOWN, request_id)
+            self._refusals.refuse_early(
+                request, Reason.ROUTE_UNKNOWN, request_id
+            )
             return
         workspace = self._workspace(table, authorization)
         if workspace is None and table.has_workspaces and not route.is_open:
             reason = (
                 Reason.KEY_UNKNOWN if authorization else Reason.KEY_MISSING
             )
-            self._refuse_early(request, reason, request_id)
+            self._refusals.refuse_early(request, reason, request_id)
             return
         call = self._make_call(
             request,
@@ -194,7 +190,7 @@
         """Refuse a request that would be refused further on."""
         now = call.arrived_at
         if self._crash_marks.is_blocked(call.digest, now):
-            self._refuse_early(
+            self._refusals.refuse_early(
                 call.request, Reason.QUARANTINED, call.request_id
             )
             return True
@@ -202,7 +198,7 @@
             call.route.name, call.rank - 1, now, self._rng.random()
         ):
             return False
-        self._refuse_early(
+        self._refusals.refuse_early(
             call.request,
             Reason.SHED_AT_ENTRY,
             call.request_id,
@@ -217,7 +213,7 @@
             return
         call.is_done = True
         objective_s = call.route.objective_s
-        self._refuse_early(
+        self._refusals.refuse_early(
             call.request,
             Reason.QUOTA_EXCEEDED,
             call.request_id,
@@ -431,70 +427,9 @@
         self._close(call)
 
     def _refuse(self, call: Call, reason: Reason) -> None:
-        if not call.may_have_run:
-            status = 503
-        elif reason is Reason.DEADLINE_EXPIRED:
-            status = 504
-        else:
-            status = 502
-        self._respond(call.request, status, reason)
-        self._metrics.refuse(call.route.name, reason.value)
-        if self._log.may_write('request_refused', REFUSAL_LINES_PER_S):
-            table = self._table
-            now = self._timers.now()
-            self._log.decision(
-                'request_refused',
-                request_id=call.request_id.decode('latin-1'),
-                route=call.route.name,
-                workspace=call.workspace,
-                service=call.service,
-                target_host=call.host,
-                status=status,
-                reason=reason.value,
-                attempts=call.attempt,
-                rank=call.rank,
-                age_ms=int((now - call.arrived_at) * 1000),
-                config_version=table.version if table else -1,
-            )
+        self._refusals.refuse(call, reason, self._timers.now())
         self._close(call)
 
-    def _refuse_early(
-        self,
-        request: HttpRequest,
-        reason: Reason,
-        request_id: bytes = b'',
-        wait_s: float = 0.0,
-        **inputs: Any,
-    ) -> None:
-        status = _STATUS_OF_REASON.get(reason, 503)
-        self._respond(request, status, reason, wait_s)
-        self._metrics.refuse('', reason.value)
-        if self._log.may_write('request_refused', REFUSAL_LINES_PER_S):
-            table = self._table
-            self._log.decision(
-                'request_refused',
-                request_id=request_id.decode('latin-1'),
-                path=request.target.decode('latin-1'),
-                status=status,
-                reason=reason.value,
-                config_version=table.version if table else -1,
-                **inputs,
-            )
-
-    def _respond(
-        self,
-        request: HttpRequest,
-        status: int,
-        reason: Reason,
-        wait_s: float = 0.0,
-    ) -> None:
-        head = status_line(status) + b'Content-Type: text/plain\r\n'
-        if status in (429, 503):
-            if not wait_s:
-                wait_s = return_time.after_overload(self._rng.random())
-            head += b'Retry-After: %.2f\r\n' % wait_s
-        request.connection.respond(request, head, reason.value.encode())
-
     def _expire(self, call: Call) -> None:
         if call.is_done:
             return
--- a/packages/dataplane/src/turmericrouter_dataplane/gate.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate.py
@@ -119,6 +119,8 @@
         self._is_reachable = True
         self._queue: GateQueue[GateJob] = GateQueue(64)
         self._jobs: dict[bytes, GateJob] = {}
+        # Requests may share an id or have none, so they are counted too.
+        self._open = 0
         self._running = 0
         self._connections = TargetConnections(headers)
         self._limit = 0
@@ -159,7 +161,7 @@
     @property
     def is_idle(self) -> bool:
         """Return whether no request is here."""
-        return not self._jobs
+        return not self._open
 
     def set_target(self, target: LocalTarget) -> None:
         """Take in an announcement of the target."""
@@ -178,6 +180,7 @@
         """Run a request, now or when there is a slot."""
         job = GateJob(frame, reply, self._timers.now())
         self._jobs[frame.request_id] = job
+        self._open += 1
         job.peak_load = self.load
         target = self._target
         if target is None or not self._is_reachable:
@@ -427,6 +430,7 @@
     def _end(self, job: GateJob) -> None:
         """Free what a request holds, and start the next one."""
         phase, job.phase = job.phase, _Phase.DONE
+        self._open -= 1
         if self._jobs.get(job.frame.request_id) is job:
             del self._jobs[job.frame.request_id]
         if job.deadline is not None:
--- /dev/null
+++ b/tests/dataplane/test_gate.py
@@ -0,0 +1,65 @@
+"""Guards against requests at the gate that hide one another."""
+
+import asyncio
+
+from dataplane_values import NAMES
+from turmericrouter_core.verdict import Reason
+from turmericrouter_dataplane.decision_log import DecisionLog
+from turmericrouter_dataplane.frames import Dispatch
+from turmericrouter_dataplane.frames import Outcome
+from turmericrouter_dataplane.gate import Gate
+from turmericrouter_dataplane.gate import LocalTarget
+from turmericrouter_dataplane.policy.target_chooser import TargetState
+from turmericrouter_dataplane.settings import Address
+from turmericrouter_dataplane.timers import TimerService
+
+
+def make_dispatch(
+    correlation: int = 1, *, request_id: bytes = b'', patience_ms: int = 1000
+) -> Dispatch:
+    return Dispatch(
+        correlation, '', 1, True, 2000, patience_ms, b'', b'', request_id, 0
+    )
+
+
+def make_gate() -> Gate:
+    timers = TimerService(lambda name, error: None)
+    log = DecisionLog('host')
+    gate = Gate(NAMES, timers, log, lambda digest, target: None)
+    # Nothing listens there; connecting does not end while a test runs.
+    address = Address('127.0.0.1', 9)
+    gate.set_target(
+        LocalTarget('t-1', 'design', address, 1, TargetState.SERVING)
+    )
+    return gate
+
+
+def test_gate_is_idle_only_without_any_request() -> None:
+    """Two requests without an id were taken for one at a stop."""
+
+    async def work() -> None:
+        gate = make_gate()
+        outcomes: list[Outcome] = []
+        first = gate.submit(make_dispatch(1), outcomes.append)
+        second = gate.submit(make_dispatch(2), outcomes.append)
+        gate.cancel(second)
+        assert not gate.is_idle
+        gate.cancel(first)
+        assert gate.is_idle
+
+    asyncio.run(work())
+
+
+def test_waiting_requests_leave_with_the_target() -> None:
+    async def work() -> None:
+        gate = make_gate()
+        outcomes: list[Outcome] = []
+        gate.submit(make_dispatch(1, request_id=b'a'), outcomes.append)
+        gate.submit(make_dispatch(2, request_id=b'b'), outcomes.append)
+        address = Address('127.0.0.1', 9)
+        gate.set_target(
+            LocalTarget('t-1', 'design', address, 1, TargetState.LEAVING)
+        )
+        assert [o.reason for o in outcomes] == [Reason.TARGET_LEAVING]
+
+    asyncio.run(work())
