--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -6,6 +6,8 @@
 import json
 import pathlib
 import signal
+import subprocess
+import sys
 import time
 
 import aiohttp
@@ -14,6 +16,7 @@
 from platform_fleet import Fleet
 from platform_fleet import Host
 from platform_fleet import make_config
+from platform_fleet import ROOT
 from platform_fleet import running_fleet
 from standin_store import Fault
 
@@ -295,6 +298,23 @@
     play(tmp_path, scenario)
 
 
+def test_reload_signal_does_not_end_a_daemon_that_is_starting() -> None:
+    """Guards against a start that a SIGHUP ends before it can be handled."""
+    # The first import of the program proper fails, and the signal follows.
+    script = (
+        'import os, runpy, signal, sys\n'
+        'sys.modules["uvloop"] = None\n'
+        'try:\n'
+        '    runpy.run_path("platform/daemon.py", run_name="__main__")\n'
+        'except ImportError:\n'
+        '    os.kill(os.getpid(), signal.SIGHUP)\n'
+    )
+    ended = subprocess.run(
+        [sys.executable, '-c', script], cwd=ROOT, check=False
+    )
+    assert ended.returncode == 0
+
+
 def test_changed_settings_are_taken_up(tmp_path: pathlib.Path) -> None:
     """Guards against settings that need a signal, or that end the daemon."""
 
