Wake up for deadlines only, and let few hosts help one that starts

An idle daemon woke up 50 times a second for a timer tick; each of 84 hosts sent 40 beats a second; each of 83 peers sent the whole configuration and the directory to a host that started. Found by reading while tracing that: after a cut both sides could hold a whole limit until the silence of beats showed (5.5 s with 84 hosts).

Change: the timer arms for the next deadline. Beats get rarer beyond 20 hosts in place of 40. At most four hosts, found by rendezvous hashing, help one at once, the others after 3 s. A host whose link has ended is out of reach for shares at once; an owner that does not answer has its link probed, and a link that ends silent has those of its failure domain probed, so a cut shows within two seconds. Each has a test that failed or could not be written before.

--- a/packages/dataplane/src/turmericrouter_dataplane/links.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/links.py
@@ -61,6 +61,8 @@
         self._heard_at = 0.0
         self._probed_at = 0.0
         self.peer = peer
+        # Whether the link was ended for want of a sign of life.
+        self.was_silent = False
         self.closed: asyncio.Future[None] = (
             asyncio.get_running_loop().create_future()
         )
@@ -143,13 +145,19 @@
             self._transport.write(data)
 
     def check(self, now: float) -> None:
-        """End the link if its calls get no sign of life."""
-        if not self._pending or self._transport is None:
+        """End the link if a probe or its calls get no sign of life."""
+        if self._transport is None:
             return
         if self._probed_at:
             if now - self._probed_at > DEAD_AFTER_S:
+                self.was_silent = True
                 self.abort()
-        elif now - self._heard_at > PROBE_AFTER_S:
+        elif self._pending and now - self._heard_at > PROBE_AFTER_S:
+            self.probe(now)
+
+    def probe(self, now: float) -> None:
+        """Ask for a sign of life, since there is reason to doubt it."""
+        if not self._probed_at:
             self._probed_at = now
             self.send(Probe(False))
 
--- a/packages/dataplane/src/turmericrouter_dataplane/members.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/members.py
@@ -4,6 +4,7 @@
 import time
 from typing import Any
 
+from turmericrouter_core.rendezvous import ranked
 from turmericrouter_dataplane.config_feed import ConfigFeed
 from turmericrouter_dataplane.decision_log import DecisionLog
 from turmericrouter_dataplane.frames import Beat
@@ -35,12 +36,17 @@
 # of a fleet of this size, not those of a fleet of its own.
 _UNKNOWN_FLEET = 32
 # Beats get rarer beyond this number of hosts, so that a host's cost stays.
-_HOSTS_AT_FULL_PACE = 40
+_HOSTS_AT_FULL_PACE = 20
 # A host that was not heard for this many periods counts as cut off.
 _SILENT_PERIODS = 2.6
 # A peer that lags behind gets the configuration after this time; by then
-# it would have it from the log, were the log in its reach.
+# it would have it from the log, were the log in its reach. Its helpers send it
+# first, the others only if it still lags after the longer time.
 _LAG_S = 0.5
+_LONG_LAG_S = 3.0
+# Helpers of a host in its own failure domain, and in the whole fleet.
+_NEAR_HELPERS = 2
+_FAR_HELPERS = 2
 # A peer whose link has gone silent gets no new calls for this time.
 _SUSPECT_S = 0.4
 
@@ -83,6 +89,8 @@
         self._jobs: dict[Link, dict[int, GateJob]] = {}
         self._heard: dict[str, float] = {}
         self._senders: dict[Link, str] = {}
+        # Since when hosts were heard with an older configuration.
+        self._lagging: dict[str, float] = {}
         self._published_at = time.monotonic()
         self.is_leaving = False
         self.on_grant: Callable[[TokenGrant], None] = lambda grant: None
@@ -163,6 +171,7 @@
             return
         self._chooser.remove(host)
         self._heard.pop(host, None)
+        self._lagging.pop(host, None)
         self._pool.forget(host)
         self._share_budget()
         self._log.event('host_left', peer=host)
@@ -263,7 +272,10 @@
         if view is not None:
             # A connection that was given up late must not hide a newer one.
             view.is_linked = self._pool.get(link.peer) is not None
-            self._update_reach(time.monotonic())
+            now = time.monotonic()
+            self._update_reach(now)
+            if link.was_silent:
+                self._doubt_domain(view.record.domain, now)
         self._log.event('link_lost', peer=link.peer)
 
     def handle(self, link: Link, frame: Frame) -> None:
@@ -344,10 +356,19 @@
         self._pool.retry(host)
         if said.config_version < self._config.version:
             self._help(view.record, said.config_version, now)
+        else:
+            self._lagging.pop(host, None)
+
+    def _doubt_domain(self, domain: str, now: float) -> None:
+        """Probe the links to a domain of which one has gone silent."""
+        for link in self._pool.open_links():
+            view = self._chooser.views.get(link.peer)
+            if view is not None and view.record.domain == domain:
+                link.probe(now)
 
     def _introduce(self, host: str, config_version: int) -> None:
         """Tell a host that has just started what it cannot know yet."""
-        if config_version >= 0:
+        if config_version >= 0 or not self._is_helper(host):
             return
         link = self._pool.get(host)
         if link is not None:
@@ -355,14 +376,35 @@
             link.send(Introduction(hosts))
 
     def _help(self, record: HostRecord, version: int, now: float) -> None:
-        is_near = record.domain == self._record.domain
-        lag_s = _LAG_S if is_near else 2 * _LAG_S
+        """Send the configuration to a host that lags behind."""
+        since = self._lagging.setdefault(record.name, now)
         link = self._pool.get(record.name)
-        if link is None or now - self._config.applied_at < lag_s:
+        if link is None or now - self._config.applied_at < _LAG_S:
+            return
+        if now - since < _LONG_LAG_S and not self._is_helper(record.name):
             return
         link.send(ConfigCopy(self._config.version, self._config.document))
-        if version < 0:
-            self._introduce(record.name, version)
+        self._introduce(record.name, version)
+
+    def _is_helper(self, host: str) -> bool:
+        """Return whether this host is one of those that help another one.
+
+        All hosts find the same few, so that a host that starts does not get
+        the same configuration from every other one.
+        """
+        views = self._chooser.views
+        others = [
+            name
+            for name, view in views.items()
+            if name != host
+            and (view.is_linked or name == self._record.name)
+            and not view.is_leaving
+        ]
+        domain = views[host].record.domain
+        near = [name for name in others if views[name].record.domain == domain]
+        helpers = ranked(host, near)[:_NEAR_HELPERS]
+        helpers += ranked(host, others)[:_FAR_HELPERS]
+        return self._record.name in helpers
 
     def _status(self) -> Status:
         gate = self._gate
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/fleet_reach.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/fleet_reach.py
@@ -34,7 +34,8 @@
     for view in others:
         if view.is_linked and not view.is_leaving:
             hosts.add(view.record.name)
-        if now - view.heard_at <= silence_s:
+        # Links end within two seconds of a cut, long before the silence shows.
+        if view.is_linked and now - view.heard_at <= silence_s:
             heard += 1
             domains.add(view.record.domain)
         elif not view.is_leaving or view.is_linked:
--- a/packages/dataplane/src/turmericrouter_dataplane/timers.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/timers.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import heapq
 import itertools
+import math
 import time
 
 # Deadlines are met up to one tick late, which saves a timer a request.
@@ -36,6 +37,8 @@
         self._heap: list[tuple[float, int, Deadline]] = []
         self._order = itertools.count()
         self._handle: asyncio.TimerHandle | None = None
+        # When the loop will wake this service; infinite if it won't.
+        self._armed_for = math.inf
         self._stopped = False
 
     @staticmethod
@@ -47,8 +50,8 @@
         """Call back once, up to a tick after a monotonic time."""
         deadline = Deadline(callback)
         heapq.heappush(self._heap, (when, next(self._order), deadline))
-        if self._handle is None:
-            self._arm()
+        if when + TICK_S < self._armed_for:
+            self._arm(when)
         return deadline
 
     def every(
@@ -75,15 +78,23 @@
         if self._handle is not None:
             self._handle.cancel()
 
-    def _arm(self) -> None:
-        if not self._stopped:
-            self._handle = self._loop.call_later(TICK_S, self._tick)
+    def _arm(self, when: float) -> None:
+        """Wake up for a deadline, at the earliest a tick from now."""
+        if self._stopped:
+            return
+        if self._handle is not None:
+            self._handle.cancel()
+        wait_s = max(TICK_S, when - self.now())
+        self._armed_for = self.now() + wait_s
+        self._handle = self._loop.call_later(wait_s, self._tick)
 
     def _tick(self) -> None:
+        # Callbacks that subscribe must not arm the timer one by one.
+        self._armed_for = -math.inf
         self._handle = None
         heap = self._heap
         now = self.now()
-        while heap and heap[0][0] <= now:
+        while heap and (heap[0][0] <= now or heap[0][2].callback is None):
             callback = heapq.heappop(heap)[2].callback
             if callback is None:
                 continue
@@ -91,6 +102,6 @@
                 callback()
             except Exception as error:
                 self._on_error('deadline', error)
-        # A callback that subscribed has armed the timer already.
-        if heap and self._handle is None:
-            self._arm()
+        self._armed_for = math.inf
+        if heap:
+            self._arm(heap[0][0])
--- a/packages/dataplane/src/turmericrouter_dataplane/token_exchange.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/token_exchange.py
@@ -51,6 +51,7 @@
 class _Waiter:
     workspace: str
     resume: Resume
+    link: Link
 
 
 class TokenExchange:
@@ -105,7 +106,7 @@
         if link is None:
             self._use_reserve(workspace, resume, now)
             return
-        self._ask(link, _Waiter(workspace, resume), flow.ahead, now)
+        self._ask(_Waiter(workspace, resume, link), flow.ahead, now)
 
     def settle(self, grant: TokenGrant) -> None:
         """Take in the answer of an owner."""
@@ -118,19 +119,18 @@
             flow.prepaid_until = self._timers.now() + _AHEAD_S
         waiter.resume(grant.tokens > 0, grant.wait_ms / 1000)
 
-    def _ask(
-        self, link: Link, waiter: _Waiter, ahead: int, now: float
-    ) -> None:
+    def _ask(self, waiter: _Waiter, ahead: int, now: float) -> None:
         self._last_correlation += 1
         correlation = self._last_correlation
         self._waiting[correlation] = waiter
-        link.send(TokenRequest(correlation, waiter.workspace, ahead))
+        waiter.link.send(TokenRequest(correlation, waiter.workspace, ahead))
         self._timers.at(now + _WAIT_S, lambda: self._run_out(correlation))
 
     def _run_out(self, correlation: int) -> None:
         waiter = self._waiting.pop(correlation, None)
         if waiter is not None:
             now = self._timers.now()
+            waiter.link.probe(now)
             self._use_reserve(waiter.workspace, waiter.resume, now)
 
     def _use_reserve(self, workspace: str, resume: Resume, now: float) -> None:
--- a/tests/dataplane/test_fleet_reach.py
+++ b/tests/dataplane/test_fleet_reach.py
@@ -40,6 +40,13 @@
     assert measure(*far).share == 1 / 3
 
 
+def test_host_whose_link_has_ended_is_out_of_reach_at_once() -> None:
+    """Both sides of a cut took the whole limit until the silence showed."""
+    view = make_view('a', domain='south')
+    view.is_linked = False
+    assert measure(view).share == 1 / 2
+
+
 def test_silent_host_of_a_live_domain_is_given_up_after_a_while() -> None:
     """Hosts that are gone for good would hold their part for ever."""
     assert measure(make_view('a', silent_s=5.0)).share == 1 / 2
--- a/tests/dataplane/test_members.py
+++ b/tests/dataplane/test_members.py
@@ -82,3 +82,51 @@
         server.stop()
 
     asyncio.run(work())
+
+
+def test_few_hosts_help_one_that_starts() -> None:
+    """Each of 83 peers sent the whole configuration to a host that started."""
+
+    async def work() -> None:
+        names = [f'host-{number}' for number in range(20)]
+        helpers = 0
+        for name in names[1:]:
+            members, chooser = make_members(name)
+            for other in names:
+                chooser.update(make_record(other)).is_linked = True
+            helpers += members._is_helper(names[0])
+        assert 2 <= helpers <= 4
+
+    asyncio.run(work())
+
+
+def test_silence_of_one_link_casts_doubt_on_its_domain() -> None:
+    """Idle links of a domain that is cut off showed it seconds later."""
+
+    async def work() -> None:
+        members, chooser = make_members('own')
+        probed: list[str] = []
+
+        class FakeLink:
+            is_open = True
+            was_silent = True
+
+            def __init__(self, peer: str) -> None:
+                self.peer = peer
+
+            def probe(self, now: float) -> None:
+                probed.append(self.peer)
+
+        links: dict[str, Any] = {}
+        for name, domain in (
+            ('a', 'south'),
+            ('b', 'south'),
+            ('c', 'west'),
+        ):
+            chooser.update(make_record(name, domain=domain))
+            links[name] = FakeLink(name)
+        members._pool._links = {n: links[n] for n in 'bc'}
+        members.link_closed(links['a'])
+        assert probed == ['b']
+
+    asyncio.run(work())
--- a/tests/dataplane/test_timers.py
+++ b/tests/dataplane/test_timers.py
@@ -22,10 +22,10 @@
         armed = 0
         arm = service._arm
 
-        def count() -> None:
+        def count(when: float) -> None:
             nonlocal armed
             armed += 1
-            arm()
+            arm(when)
 
         monkeypatch.setattr(service, '_arm', count)
         for _ in range(5):
@@ -39,6 +39,53 @@
     asyncio.run(work())
 
 
+def test_idle_service_wakes_up_for_deadlines_only(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A wake-up each tick took a third of an idle daemon's work."""
+
+    async def work() -> None:
+        service = make()
+        ticks = 0
+        tick = service._tick
+
+        def count() -> None:
+            nonlocal ticks
+            ticks += 1
+            tick()
+
+        monkeypatch.setattr(service, '_tick', count)
+        called: list[str] = []
+        now = service.now()
+        service.at(now + 60.0, lambda: called.append('late'))
+        service.at(now + 0.3, lambda: called.append('soon'))
+        service.at(now + 0.25, lambda: called.append('never')).cancel()
+        async with asyncio.timeout(5.0):
+            while not called:
+                await asyncio.sleep(0.01)
+        assert called == ['soon']
+        assert ticks <= 2
+        service.stop()
+
+    asyncio.run(work())
+
+
+def test_earlier_deadline_is_met_although_a_later_one_came_first() -> None:
+    async def work() -> None:
+        service = make()
+        called: list[str] = []
+        now = service.now()
+        service.at(now + 60.0, lambda: called.append('late'))
+        service.at(now + 0.05, lambda: called.append('soon'))
+        async with asyncio.timeout(5.0):
+            while not called:
+                await asyncio.sleep(0.01)
+        assert called == ['soon']
+        service.stop()
+
+    asyncio.run(work())
+
+
 def test_deadlines_come_in_order_unless_cancelled() -> None:
     async def work() -> None:
         service = make()
--- a/tests/dataplane/test_token_exchange.py
+++ b/tests/dataplane/test_token_exchange.py
@@ -20,6 +20,10 @@
 
     def __init__(self) -> None:
         self.sent: list[TokenRequest] = []
+        self.probes = 0
+
+    def probe(self, now: float) -> None:
+        self.probes += 1
 
     def send(self, frame: TokenRequest) -> None:
         self.sent.append(frame)
@@ -76,6 +80,8 @@
         bench.take()
         await asyncio.sleep(0.3)
         assert bench.results == [True]
+        # An idle link would hide a cut for seconds.
+        assert bench.link.probes == 1
         # The late answer is nobody's.
         correlation = bench.link.sent[0].correlation
         bench.exchange.settle(TokenGrant(correlation, 1, 0))
