Explain a request from the output of daemons

Cause: 'turmericctl explain' asked the earlier daemons' admin interface; on the platform's path there are only lines and metrics.

--- a/packages/operator/src/turmericrouter_operator/cli.py
+++ b/packages/operator/src/turmericrouter_operator/cli.py
@@ -23,6 +23,7 @@
 from turmericrouter_core.errors import SettingsError
 from turmericrouter_core.errors import TurmericError
 from turmericrouter_operator import keys
+from turmericrouter_operator import log_trace
 from turmericrouter_operator.changes import check_result
 from turmericrouter_operator.changes import describe_changes
 from turmericrouter_operator.changes import publish_changes
@@ -285,13 +286,24 @@
 
 
 @app.command
-async def explain(request_id: str, *, options: Options = _DEFAULTS) -> int:
+async def explain(
+    request_id: str,
+    *,
+    output: tuple[pathlib.Path, ...] = (),
+    options: Options = _DEFAULTS,
+) -> int:
     """Show the decisions on a request.
 
     Args:
-        request_id: Value of `Turmeric-Request-Id` in the answer.
+        request_id: Value of `Turmeric-Request-Id` in the answer, or the
+            caller's own id on the platform.
+        output: File with the output of a daemon; may be given several times.
+            Daemons are not asked then, and lines that explain the decisions
+            are shown with them.
         options: Shared options.
     """
+    if output:
+        return _explain_from_files(request_id, output, options)
     replies = await options.members().ask_all(
         lambda client: client.explain(request_id)
     )
@@ -311,6 +323,29 @@
     return _reached(replies) or ExitStatus.REFUSED
 
 
+def _explain_from_files(
+    request_id: str, output: tuple[pathlib.Path, ...], options: Options
+) -> int:
+    try:
+        lines = log_trace.read_lines(output)
+    except OSError as error:
+        print(f'error: {error}', file=sys.stderr)
+        return ExitStatus.USAGE
+    rows = [
+        {
+            'time': f'{traced.line.time:.3f}',
+            'host': traced.line.host,
+            'about': 'request' if traced.is_own else 'cause',
+            'event': traced.line.event,
+            'fields': traced.line.fields,
+        }
+        for traced in log_trace.trace(request_id, lines)
+    ]
+    columns = ('time', 'host', 'about', 'event', 'fields')
+    print(format_rows(rows, columns, as_json=options.as_json))
+    return ExitStatus.OK if rows else ExitStatus.REFUSED
+
+
 def _decision_row(address: str, decision: DecisionRow) -> dict[str, object]:
     fields = {
         name: value
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -19,6 +19,7 @@
 from platform_fleet import ROOT
 from platform_fleet import running_fleet
 from standin_store import Fault
+from turmericrouter_operator import log_trace
 
 Scenario = Callable[[Fleet], Awaitable[None]]
 
@@ -392,3 +393,36 @@
     assert status == 2
     assert output.startswith('event=settings_refused')
     assert len(output.splitlines()) == 1
+
+
+def test_lost_request_is_explained_by_the_output(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a 502 whose cause the log lines do not tell."""
+
+    async def scenario(fleet: Fleet) -> None:
+        entry, other = fleet.hosts
+        other.upstream.work_s = 1.0
+        task = asyncio.create_task(
+            fleet.request(
+                entry,
+                '/book/1',
+                method='POST',
+                headers={'X-Request-Id': 'id-lost'},
+            )
+        )
+        await _until(lambda: bool(other.upstream.runs[-1].path == '/book/1'))
+        other.kill()
+        status, _, _ = await task
+        assert status == 502
+        await _until(lambda: bool(entry.lines('request_refused')))
+        lines = log_trace.read_lines([entry.output, other.output])
+        events = [
+            (each.line.event, each.is_own)
+            for each in log_trace.trace('id-lost', lines)
+        ]
+        assert ('link_lost', False) in events
+        assert ('request_attempt_failed', True) in events
+        assert ('request_refused', True) in events
+
+    play(tmp_path, scenario)
