--- a/packages/dataplane/src/turmericrouter_dataplane/announcements.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/announcements.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from turmericrouter_dataplane.decision_log import DecisionLog
-from turmericrouter_dataplane.gate import LocalTarget
+from turmericrouter_dataplane.local_target import LocalTarget
 from turmericrouter_dataplane.policy.target_chooser import TargetState
 
 
--- a/packages/dataplane/src/turmericrouter_dataplane/application.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/application.py
@@ -21,7 +21,6 @@
 from turmericrouter_dataplane.dispatcher import Dispatcher
 from turmericrouter_dataplane.frames import HostRecord
 from turmericrouter_dataplane.gate import Gate
-from turmericrouter_dataplane.gate import LocalTarget
 from turmericrouter_dataplane.handlers import AnnouncementHandler
 from turmericrouter_dataplane.handlers import MetricsHandler
 from turmericrouter_dataplane.handlers import ReadyHandler
@@ -29,6 +28,7 @@
 from turmericrouter_dataplane.http_server import HttpRequest
 from turmericrouter_dataplane.http_server import HttpServer
 from turmericrouter_dataplane.links import LinkServer
+from turmericrouter_dataplane.local_target import LocalTarget
 from turmericrouter_dataplane.log_service import LogService
 from turmericrouter_dataplane.members import BEAT_PERIOD_S
 from turmericrouter_dataplane.members import Members
--- a/packages/dataplane/src/turmericrouter_dataplane/call.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/call.py
@@ -1,7 +1,7 @@
 """A request on its way through the daemon that it entered."""
 
 from turmericrouter_core.verdict import Reason
-from turmericrouter_dataplane.gate import GateJob
+from turmericrouter_dataplane.gate_job import GateJob
 from turmericrouter_dataplane.http_server import HttpRequest
 from turmericrouter_dataplane.links import Link
 from turmericrouter_dataplane.model import Route
--- a/packages/dataplane/src/turmericrouter_dataplane/gate.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate.py
@@ -2,8 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
-import enum
 
 from turmericrouter_core.verdict import Reason
 from turmericrouter_core.verdict import Verdict
@@ -11,14 +9,16 @@
 from turmericrouter_dataplane.dialect import HeaderNames
 from turmericrouter_dataplane.frames import Dispatch
 from turmericrouter_dataplane.frames import Outcome
+from turmericrouter_dataplane.gate_job import GateJob
+from turmericrouter_dataplane.gate_job import Phase
+from turmericrouter_dataplane.gate_job import ReplyCallback
 from turmericrouter_dataplane.http_client import Failure
 from turmericrouter_dataplane.http_client import HttpAnswer
 from turmericrouter_dataplane.http_client import HttpClientConnection
+from turmericrouter_dataplane.local_target import LocalTarget
 from turmericrouter_dataplane.policy.gate_queue import GateQueue
 from turmericrouter_dataplane.policy.target_chooser import TargetState
-from turmericrouter_dataplane.settings import Address
 from turmericrouter_dataplane.target_connections import TargetConnections
-from turmericrouter_dataplane.timers import Deadline
 from turmericrouter_dataplane.timers import TimerService
 
 # Slots are kept free where targets slow down when nearly all are taken.
@@ -27,72 +27,6 @@
 # Statuses by which callers take it that a request has not run.
 _PROMISES = frozenset({408, 421, 429, 503})
 
-ReplyCallback = Callable[[Outcome], None]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class LocalTarget:
-    """The target of this host as it announced itself.
-
-    Args:
-        target_id: Id of the target's present start.
-        service: Its service.
-        address: Where it listens.
-        slots: Requests that it runs at once.
-        state: Serving or leaving.
-        born: Start in milliseconds by the target's clock.
-        sequence: Number of the announcement.
-    """
-
-    target_id: str
-    service: str
-    address: Address
-    slots: int
-    state: TargetState
-    born: int = 0
-    sequence: int = -1
-
-
-class _Phase(enum.Enum):
-    WAITING = 'waiting'
-    CONNECTING = 'connecting'
-    RUNNING = 'running'
-    DONE = 'done'
-
-
-class GateJob:
-    """One request at the gate."""
-
-    __slots__ = ('connection', 'deadline', 'frame', 'patience', 'peak_load',
-                 'phase', 'received_at', 'reply')  # fmt: skip
-
-    def __init__(
-        self, frame: Dispatch, reply: ReplyCallback, received_at: float
-    ) -> None:
-        self.frame = frame
-        self.reply = reply
-        self.received_at = received_at
-        self.phase = _Phase.WAITING
-        self.connection: HttpClientConnection | None = None
-        self.deadline: Deadline | None = None
-        self.patience: Deadline | None = None
-        self.peak_load = 0.0
-
-    @property
-    def is_done(self) -> bool:
-        """Return whether the request has its outcome."""
-        return self.phase is _Phase.DONE
-
-    @property
-    def has_started(self) -> bool:
-        """Return whether the target may have seen the request."""
-        return self.phase is _Phase.RUNNING
-
-    @property
-    def expires_at(self) -> float:
-        """Return when the answer is due, in monotonic seconds."""
-        return self.received_at + self.frame.left_ms / 1000
-
 
 class Gate:
     """Admits requests to the local target, in order of importance.
@@ -200,12 +134,12 @@
 
         One that must not run twice and is at the target runs on.
         """
-        if job.phase is _Phase.DONE:
+        if job.phase is Phase.DONE:
             return
-        if job.phase is _Phase.RUNNING and not job.frame.is_idempotent:
+        if job.phase is Phase.RUNNING and not job.frame.is_idempotent:
             job.reply = _ignore
             return
-        if job.phase is _Phase.WAITING:
+        if job.phase is Phase.WAITING:
             self._queue.remove(job.frame.rank, job)
         self._end(job)
 
@@ -234,7 +168,7 @@
             self._refuse(evicted, Reason.EVICTED)
 
     def _run_out(self, job: GateJob) -> None:
-        if job.phase is _Phase.WAITING:
+        if job.phase is Phase.WAITING:
             self._queue.remove(job.frame.rank, job)
             self._refuse(job, Reason.SHED_AT_GATE)
 
@@ -246,7 +180,7 @@
         if connection is not None:
             self._run(job, connection)
             return
-        job.phase = _Phase.CONNECTING
+        job.phase = Phase.CONNECTING
         asyncio.ensure_future(self._connect(job))
 
     async def _connect(self, job: GateJob) -> None:
@@ -256,10 +190,10 @@
             connection = await self._connections.open(target.address)
         except (OSError, TimeoutError) as error:
             self._target_unreachable(target, error)
-            if job.phase is not _Phase.DONE:
+            if job.phase is not Phase.DONE:
                 self._refuse(job, Reason.TARGET_UNREACHABLE)
             return
-        if job.phase is _Phase.DONE:
+        if job.phase is Phase.DONE:
             self._connections.give_back(connection)
             return
         now_target = self._target
@@ -295,7 +229,7 @@
             self._refuse(job, Reason.DEADLINE_EXPIRED)
             return
         names = self._names
-        job.phase = _Phase.RUNNING
+        job.phase = Phase.RUNNING
         job.connection = connection
         job.deadline = self._timers.at(
             job.expires_at + _EXPIRY_GRACE_S, lambda: self._expire(job)
@@ -316,7 +250,7 @@
         )
 
     def _expire(self, job: GateJob) -> None:
-        if job.phase is not _Phase.RUNNING:
+        if job.phase is not Phase.RUNNING:
             return
         if job.frame.is_idempotent:
             self._reply(
@@ -329,7 +263,7 @@
         )
 
     def _abandon(self, job: GateJob) -> None:
-        if job.phase is _Phase.RUNNING:
+        if job.phase is Phase.RUNNING:
             self._reply(
                 job, Verdict.MAY_HAVE_RUN, Reason.DEADLINE_EXPIRED, sent=True
             )
@@ -429,7 +363,7 @@
 
     def _end(self, job: GateJob) -> None:
         """Free what a request holds, and start the next one."""
-        phase, job.phase = job.phase, _Phase.DONE
+        phase, job.phase = job.phase, Phase.DONE
         self._open -= 1
         if self._jobs.get(job.frame.request_id) is job:
             del self._jobs[job.frame.request_id]
@@ -440,7 +374,7 @@
         connection, job.connection = job.connection, None
         if connection is not None:
             connection.abort()
-        if phase in (_Phase.CONNECTING, _Phase.RUNNING):
+        if phase in (Phase.CONNECTING, Phase.RUNNING):
             self._running -= 1
             self._start_next()
 
--- /dev/null
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate_job.py
@@ -0,0 +1,54 @@
+"""A request at the gate."""
+
+from collections.abc import Callable
+import enum
+
+from turmericrouter_dataplane.frames import Dispatch
+from turmericrouter_dataplane.frames import Outcome
+from turmericrouter_dataplane.http_client import HttpClientConnection
+from turmericrouter_dataplane.timers import Deadline
+
+ReplyCallback = Callable[[Outcome], None]
+
+
+class Phase(enum.Enum):
+    """Where a request at the gate is."""
+
+    WAITING = 'waiting'
+    CONNECTING = 'connecting'
+    RUNNING = 'running'
+    DONE = 'done'
+
+
+class GateJob:
+    """One request at the gate."""
+
+    __slots__ = ('connection', 'deadline', 'frame', 'patience', 'peak_load',
+                 'phase', 'received_at', 'reply')  # fmt: skip
+
+    def __init__(
+        self, frame: Dispatch, reply: ReplyCallback, received_at: float
+    ) -> None:
+        self.frame = frame
+        self.reply = reply
+        self.received_at = received_at
+        self.phase = Phase.WAITING
+        self.connection: HttpClientConnection | None = None
+        self.deadline: Deadline | None = None
+        self.patience: Deadline | None = None
+        self.peak_load = 0.0
+
+    @property
+    def is_done(self) -> bool:
+        """Return whether the request has its outcome."""
+        return self.phase is Phase.DONE
+
+    @property
+    def has_started(self) -> bool:
+        """Return whether the target may have seen the request."""
+        return self.phase is Phase.RUNNING
+
+    @property
+    def expires_at(self) -> float:
+        """Return when the answer is due, in monotonic seconds."""
+        return self.received_at + self.frame.left_ms / 1000
--- a/packages/dataplane/src/turmericrouter_dataplane/handlers.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/handlers.py
@@ -6,9 +6,9 @@
 from turmericrouter_dataplane.announcements import Departure
 from turmericrouter_dataplane.announcements import Ignored
 from turmericrouter_dataplane.decision_log import DecisionLog
-from turmericrouter_dataplane.gate import LocalTarget
 from turmericrouter_dataplane.http_server import HttpRequest
 from turmericrouter_dataplane.http_server import status_line
+from turmericrouter_dataplane.local_target import LocalTarget
 
 AnnouncementDecoder = Callable[
     [HttpRequest], LocalTarget | Departure | Ignored
--- a/packages/dataplane/src/turmericrouter_dataplane/members.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/members.py
@@ -21,7 +21,7 @@
 from turmericrouter_dataplane.frames import TokenGrant
 from turmericrouter_dataplane.frames import TokenRequest
 from turmericrouter_dataplane.gate import Gate
-from turmericrouter_dataplane.gate import GateJob
+from turmericrouter_dataplane.gate_job import GateJob
 from turmericrouter_dataplane.links import Link
 from turmericrouter_dataplane.links import LinkPool
 from turmericrouter_dataplane.policy.crash_marks import CrashMarks
--- a/packages/standins/src/turmericrouter_standins/soak.py
+++ b/packages/standins/src/turmericrouter_standins/soak.py
@@ -35,6 +35,7 @@
 from turmericrouter_standins.load import Flow
 from turmericrouter_standins.load import Phase
 from turmericrouter_standins.load import send_attempt
+from turmericrouter_standins.soak_report import print_problems
 from turmericrouter_standins.trial import run_load
 
 DOMAINS = ('north', 'south', 'west')
@@ -365,11 +366,7 @@
     print(f'seed {options.seed}, {options.seconds:.0f} s', flush=True)
     soak = Soak(directory, seed=options.seed, seconds=options.seconds)
     problems = uvloop.run(soak.run())
-    for name, found in problems.items():
-        print(f'{name}: {"ok" if not found else f"{len(found)} violations"}')
-        for text in found[:5]:
-            print(f'  {text}')
-    sys.exit(1 if any(problems.values()) else 0)
+    sys.exit(print_problems(problems))
 
 
 if __name__ == '__main__':
--- a/tests/dataplane/test_announcements.py
+++ b/tests/dataplane/test_announcements.py
@@ -5,7 +5,7 @@
 from turmericrouter_dataplane.announcements import Announcements
 from turmericrouter_dataplane.announcements import Departure
 from turmericrouter_dataplane.decision_log import DecisionLog
-from turmericrouter_dataplane.gate import LocalTarget
+from turmericrouter_dataplane.local_target import LocalTarget
 from turmericrouter_dataplane.policy.target_chooser import TargetState
 from turmericrouter_dataplane.settings import Address
 
--- a/tests/dataplane/test_gate.py
+++ b/tests/dataplane/test_gate.py
@@ -8,7 +8,7 @@
 from turmericrouter_dataplane.frames import Dispatch
 from turmericrouter_dataplane.frames import Outcome
 from turmericrouter_dataplane.gate import Gate
-from turmericrouter_dataplane.gate import LocalTarget
+from turmericrouter_dataplane.local_target import LocalTarget
 from turmericrouter_dataplane.policy.target_chooser import TargetState
 from turmericrouter_dataplane.settings import Address
 from turmericrouter_dataplane.timers import TimerService
--- a/tests/platform/platform_soak.py
+++ b/tests/platform/platform_soak.py
@@ -27,6 +27,7 @@
 from soak_faults import FaultInjector
 from standin_store import StandinStore
 from standin_upstream import Arrival
+from turmericrouter_standins.soak_report import print_problems
 
 DOMAINS = ('north', 'south', 'west')
 RECOVERY_S = 15.0
@@ -406,11 +407,7 @@
         faults=tuple(filter(None, options.faults.split(','))),
     )
     problems = asyncio.run(soak.run())
-    for name, found in problems.items():
-        print(f'{name}: {"ok" if not found else f"{len(found)} violations"}')
-        for text in found[:5]:
-            print(f'  {text}')
-    sys.exit(1 if any(problems.values()) else 0)
+    sys.exit(print_problems(problems))
 
 
 if __name__ == '__main__':
