Send nothing more to an address where another target answers

Ruled out: stale records (all hosts named the id that the host's own gate held); a fault of the announcement (the target sent none any more).

Both tests fail on the code before.

--- a/packages/dataplane/src/turmericrouter_dataplane/gate.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate.py
@@ -204,7 +204,7 @@
         self._refuse(job, Reason.TARGET_RETIRED)
 
     def _target_unreachable(
-        self, target: LocalTarget, error: Exception
+        self, target: LocalTarget, error: Exception | str
     ) -> None:
         if self._target is target and self._is_reachable:
             self._is_reachable = False
@@ -244,7 +244,7 @@
                 target.target_id.encode(),
                 frame.body,
             ),
-            lambda result: self._answered(job, result),
+            lambda result: self._answered(job, result, target),
             expected_id=frame.request_id,
             is_head=frame.head.startswith(b'HEAD '),
         )
@@ -268,7 +268,9 @@
                 job, Verdict.MAY_HAVE_RUN, Reason.DEADLINE_EXPIRED, sent=True
             )
 
-    def _answered(self, job: GateJob, result: HttpAnswer | Failure) -> None:
+    def _answered(
+        self, job: GateJob, result: HttpAnswer | Failure, target: LocalTarget
+    ) -> None:
         connection = job.connection
         job.connection = None
         if isinstance(result, Failure):
@@ -280,6 +282,10 @@
             return
         assert connection is not None
         self._connections.give_back(connection)
+        if result.status == 421:
+            # Another target has the address now; the one that announced it
+            # is gone or will announce itself anew.
+            self._target_unreachable(target, 'another target answered')
         self._classify(job, result)
 
     def _classify(self, job: GateJob, answer: HttpAnswer) -> None:
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/target_chooser.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/target_chooser.py
@@ -31,6 +31,7 @@
         Reason.TARGET_SHED,
         Reason.LINK_LOST,
         Reason.TARGET_UNREACHABLE,
+        Reason.TARGET_RETIRED,
     }
 )
 _UNREACHABLE = frozenset(
@@ -40,6 +41,7 @@
         Reason.LINK_LOST,
         Reason.DAEMON_STOPPING,
         Reason.TARGET_LEAVING,
+        Reason.TARGET_RETIRED,
     }
 )
 
--- a/tests/dataplane/test_gate.py
+++ b/tests/dataplane/test_gate.py
@@ -13,12 +13,14 @@
 from turmericrouter_dataplane.settings import Address
 from turmericrouter_dataplane.timers import TimerService
 
+_HEAD = b'GET / HTTP/1.1\r\n'
+
 
 def make_dispatch(
     correlation: int = 1, *, request_id: bytes = b'', patience_ms: int = 1000
 ) -> Dispatch:
     return Dispatch(
-        correlation, '', 1, True, 2000, patience_ms, b'', b'', request_id, 0
+        correlation, '', 1, True, 2000, patience_ms, _HEAD, b'', request_id, 0
     )
 
 
@@ -63,3 +65,50 @@
         assert [o.reason for o in outcomes] == [Reason.TARGET_LEAVING]
 
     asyncio.run(work())
+
+
+def test_address_of_another_target_gets_no_further_requests() -> None:
+    """Each request was sent there, and its repeat cost the retry budget."""
+
+    async def work() -> None:
+        asked = 0
+
+        async def answer(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal asked
+            while await reader.readuntil(b'\r\n\r\n'):
+                asked += 1
+                writer.write(
+                    b'HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n'
+                )
+
+        server = await asyncio.start_server(answer, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        gate = make_gate()
+        gate.set_target(
+            LocalTarget(
+                't-1',
+                'design',
+                Address('127.0.0.1', port),
+                4,
+                TargetState.SERVING,
+            )
+        )
+        outcomes: list[Outcome] = []
+        for number in range(3):
+            gate.submit(make_dispatch(number), outcomes.append)
+            async with asyncio.timeout(5.0):
+                while len(outcomes) <= number:
+                    await asyncio.sleep(0.01)
+        assert [o.reason for o in outcomes] == [
+            Reason.TARGET_RETIRED,
+            Reason.TARGET_UNREACHABLE,
+            Reason.TARGET_UNREACHABLE,
+        ]
+        assert [o.was_sent for o in outcomes] == [True, False, False]
+        assert asked == 1
+        gate.stop()
+        server.close()
+
+    asyncio.run(work())
--- a/tests/dataplane/test_target_chooser.py
+++ b/tests/dataplane/test_target_chooser.py
@@ -61,6 +61,14 @@
     assert choose(chooser, now=9.0) == 'h0'
 
 
+def test_host_whose_target_is_another_one_attracts_no_requests() -> None:
+    """It answers at once, so it had the least load of all."""
+    chooser = make_chooser('north', 'north')
+    chooser.views['h0'].in_flight += 1
+    chooser.finish('h0', Reason.TARGET_RETIRED, 0.0)
+    assert {choose(chooser, now=0.1) for _ in range(5)} == {'h1'}
+
+
 def test_host_that_was_tried_is_not_asked_again() -> None:
     chooser = make_chooser('north', 'south')
     assert choose(chooser, tried={'h0'}) == 'h1'
