Forget a host whose address another host has

Ruled out: a stale record at some hosts only (all hosts sent there, and the old host never came back).

Change: a host that is heard at an address ends what is known of another one there, and the log's record of the old one is passed over. The test fails on the code before.

--- a/packages/dataplane/src/turmericrouter_dataplane/members.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/members.py
@@ -151,6 +151,8 @@
             return
         view = self._chooser.views.get(record.name)
         if view is None:
+            if self._has_new_owner(record):
+                return
             self._log.event(
                 'host_learned',
                 peer=record.name,
@@ -176,6 +178,25 @@
         self._share_budget()
         self._log.event('host_left', peer=host)
 
+    def _forget_predecessors(self, record: HostRecord) -> None:
+        """Drop hosts that had the address of a host which is heard now.
+
+        Links to them would lead to the new one.
+        """
+        for name, view in list(self._chooser.views.items()):
+            if view.record.address == record.address and name != record.name:
+                self.forget(name)
+
+    def _has_new_owner(self, record: HostRecord) -> bool:
+        """Return whether another host was heard at the address of a record.
+
+        The log keeps the records of hosts that are gone.
+        """
+        return any(
+            view.record.address == record.address and view.heard_at > 0
+            for view in self._chooser.views.values()
+        )
+
     def know_all(self) -> None:
         """Learn that all hosts which the log names are known."""
         if self._least_hosts > 1:
@@ -326,6 +347,7 @@
         record = status.host
         now = time.monotonic()
         self._senders[link] = record.name
+        self._forget_predecessors(record)
         if record.name not in self._chooser.views:
             self.learn(record)
             self._introduce(record.name, status.config_version)
--- a/tests/dataplane/test_members.py
+++ b/tests/dataplane/test_members.py
@@ -7,6 +7,8 @@
 from dataplane_values import make_record
 from dataplane_values import NAMES
 from turmericrouter_dataplane.decision_log import DecisionLog
+from turmericrouter_dataplane.frames import HostRecord
+from turmericrouter_dataplane.frames import Status
 from turmericrouter_dataplane.gate import Gate
 from turmericrouter_dataplane.links import Link
 from turmericrouter_dataplane.links import LinkServer
@@ -130,3 +132,25 @@
         assert probed == ['b']
 
     asyncio.run(work())
+
+
+def test_host_whose_address_another_one_has_is_forgotten() -> None:
+    """Requests for it went to the other host, which refused each of them."""
+
+    async def work() -> None:
+        members, chooser = make_members('own')
+        gone = HostRecord('gone', '127.0.0.1:9', 'north', 'design', 'old', 10)
+        new = HostRecord('new', '127.0.0.1:9', 'north', 'works', 'id', 10)
+        members.learn(gone)
+        link: Any = Link(members)
+        members.handle(link, Status(new, 1))
+        assert set(chooser.views) == {'own', 'new'}
+        # The log still has its record.
+        members.learn(gone)
+        assert set(chooser.views) == {'own', 'new'}
+        # It has got its address back.
+        members.handle(link, Status(gone, 1))
+        assert set(chooser.views) == {'own', 'gone'}
+        members.stop()
+
+    asyncio.run(work())
