Begin a start delay only once a majority knows the new roster

Traced step by step: m2 spends the first split in the minority, without the log. In the second it reads the log, still counts m3 (seen a second before) and so sees a majority of three; m0 and m1 are dead for 200 s in its own view, so it replaces them. m3 then joins m0 and m1, which have lost the log, without having heard of the new roster, and completes their majority. 25 s later m1 and m2 both act. The start delay rested on the time when the new holder read the roster, not on what the former holder's majority can know. The new rule of the state machine (two splits in a row) found a second case: a daemon that restarts without the log counts 0 members and takes itself for a majority. Ruled out: a takeover clock that stops while the proposer is in a minority; it mends the sequence but not a member that changes sides twice. Conclusion: a holder that can reach no majority of its domain does not begin; this is paid by items that moved just before such a cut.

--- a/packages/core/src/turmericrouter_core/roster.py
+++ b/packages/core/src/turmericrouter_core/roster.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping
 import dataclasses
 import enum
+import math
 
 import msgspec
 import xxhash
@@ -215,6 +216,8 @@
         read_at: Monotonic seconds when the change was read.
         stopped_at: Monotonic seconds from which each former holder is known
             to have stopped.
+        applied_at: Monotonic seconds at which each member is known to have
+            applied the change.
     """
 
     epoch: int
@@ -222,6 +225,13 @@
     after: tuple[str, ...]
     read_at: float
     stopped_at: dict[str, float]
+    applied_at: dict[str, float]
+
+    def majority_applied_at(self, majority: int) -> float:
+        """Return when a majority had applied the change, or infinity."""
+        if len(self.applied_at) < majority:
+            return math.inf
+        return sorted(self.applied_at.values())[majority - 1]
 
 
 class HoldingPeriods:
@@ -232,6 +242,10 @@
     released its role or confirmed a roster at least as new, and otherwise
     after the start delay. The first roster of a domain has no former holders.
 
+    The start delay begins when more than half of the domain has applied the
+    change. A former holder without the log acts only with a live majority,
+    which then includes a member that knows of its replacement.
+
     Args:
         own: Address of this daemon.
         started_at: Monotonic seconds of the process start.
@@ -248,6 +262,15 @@
         self._retention_s = keep_s
         self._holders: tuple[str, ...] = ()
         self._changes: list[_RecordedChange] = []
+        self._majority = 1
+
+    def set_member_count(self, member_count: int) -> None:
+        """Set the number of members of the domain that have not left.
+
+        Args:
+            member_count: Members, dead ones and this daemon included.
+        """
+        self._majority = member_count // 2 + 1
 
     def apply_roster(
         self,
@@ -271,9 +294,15 @@
             if change.read_at >= retained_from
         ]
         if self._holders:
-            stopped_at = dict.fromkeys(released, now)
             self._changes.append(
-                _RecordedChange(epoch, self._holders, holders, now, stopped_at)
+                _RecordedChange(
+                    epoch,
+                    self._holders,
+                    holders,
+                    now,
+                    stopped_at=dict.fromkeys(released, now),
+                    applied_at={self._own: now},
+                )
             )
         self._holders = holders
 
@@ -293,7 +322,7 @@
         return frozenset(
             holder
             for change in self._changes
-            if now < change.read_at + self._start_delay_s
+            if now < self._latest_stop_at(change)
             for holder in change.before
             if holder not in (self._own, _UNKNOWN_HOLDER)
             and holder not in change.stopped_at
@@ -309,6 +338,29 @@
             if change.epoch <= epoch:
                 change.stopped_at.setdefault(holder, now)
 
+    def awaited_members(self, members: Iterable[str]) -> list[str]:
+        """Return the members of whom a majority must still apply a change.
+
+        Args:
+            members: Members of the domain that can be asked.
+        """
+        waiting = [
+            change
+            for change in self._changes
+            if len(change.applied_at) < self._majority
+        ]
+        return sorted(
+            member
+            for member in members
+            if any(member not in change.applied_at for change in waiting)
+        )
+
+    def record_applied(self, now: float, member: str, epoch: int) -> None:
+        """Record that a member has applied the roster of an epoch."""
+        for change in self._changes:
+            if change.epoch <= epoch:
+                change.applied_at.setdefault(member, now)
+
     def held_since(self, item: str) -> float | None:
         """Return the monotonic seconds from which this daemon holds an item.
 
@@ -322,7 +374,12 @@
             before = holder_of(item, change.before)
             if before == holder_of(item, change.after):
                 continue
-            latest_stop_at = change.read_at + self._start_delay_s
+            latest_stop_at = self._latest_stop_at(change)
             stopped_at = change.stopped_at.get(before, latest_stop_at)
             held_since = max(held_since, min(stopped_at, latest_stop_at))
         return held_since
+
+    def _latest_stop_at(self, change: _RecordedChange) -> float:
+        """Return when the former holders of a change have surely stopped."""
+        applied_at = change.majority_applied_at(self._majority)
+        return applied_at + self._start_delay_s
--- a/packages/daemon/src/turmericrouter_daemon/roster_service.py
+++ b/packages/daemon/src/turmericrouter_daemon/roster_service.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 import contextlib
+import math
 from typing import Any
 
 from turmericrouter_client.log_service import LogService
@@ -55,6 +56,8 @@
 _RELEASE_TIMEOUT_S = 3.0
 _RELEASE_WAIT_S = 1.0
 _QUERY_TIMEOUT_S = 1.0
+# Members that are asked for their roster epoch at the same time.
+_MAX_MEMBERS_ASKED = 16
 
 
 class RosterService:
@@ -277,9 +280,19 @@
         else:
             self._pause_s = 0.0
         tenure = self._tenure
-        if tenure is not None and tenure.unconfirmed_holders(now):
+        if tenure is not None and self._members_to_ask(tenure):
             self._start_task('confirm', lambda: self._confirm(tenure))
 
+    def _members_to_ask(self, tenure: HoldingPeriods) -> list[str]:
+        """Return the members whose roster epoch decides when to start."""
+        now = self._runtime.clock.monotonic()
+        former = tenure.unconfirmed_holders(now)
+        others = tenure.awaited_members(self._members - {self._own} - former)
+        chosen = self._runtime.rng.sample(
+            others, min(len(others), _MAX_MEMBERS_ASKED)
+        )
+        return sorted(former) + chosen
+
     def _start_task(self, name: str, work: Work) -> None:
         """Run work in a task unless the last one of the name still runs."""
         running = self._tasks.get(name)
@@ -308,9 +321,14 @@
         self._staying_count = len(staying)
         self._present_count = len((staying & seen) | {self._own})
         log_age_s = self._config.log_age_s
-        if log_age_s < min(self._last_log_age_s, _MAX_FRESH_LOG_AGE_S):
+        is_fresh = log_age_s < min(self._last_log_age_s, _MAX_FRESH_LOG_AGE_S)
+        if is_fresh or math.isinf(log_age_s):
+            # A daemon that has never read the log knows its domain from
+            # peers, which list dead members too.
             self._count_at_last_read = len(staying | {self._own})
         self._last_log_age_s = log_age_s
+        if self._tenure is not None:
+            self._tenure.set_member_count(len(staying | {self._own}))
         live = frozenset(
             e.address
             for e in members
@@ -367,26 +385,27 @@
             self._runtime.log.info('holder_refreshed')
 
     async def _confirm(self, tenure: HoldingPeriods) -> None:
-        """Query former holders for the epoch of their roster.
+        """Query former holders and other members for their roster epoch.
 
-        One that has the newer roster has stopped, so its successor need
-        not wait for the start delay.
+        A former holder with the newer roster has stopped, so its successor
+        need not wait for the start delay, which begins once a majority of
+        the members has the newer roster.
         """
-        now = self._runtime.clock.monotonic()
         await asyncio.gather(
             *(
-                self._confirm_holder(tenure, h)
-                for h in tenure.unconfirmed_holders(now)
+                self._confirm_member(tenure, member)
+                for member in self._members_to_ask(tenure)
             )
         )
 
-    async def _confirm_holder(
-        self, tenure: HoldingPeriods, holder: str
+    async def _confirm_member(
+        self, tenure: HoldingPeriods, member: str
     ) -> None:
-        epoch = await self._request_epoch(holder)
+        epoch = await self._request_epoch(member)
         if epoch is not None:
             now = self._runtime.clock.monotonic()
-            tenure.confirm(now, holder, epoch)
+            tenure.confirm(now, member, epoch)
+            tenure.record_applied(now, member, epoch)
 
     async def _read_log(self) -> bool:
         after = self.roster(self._domain).epoch
--- a/tests/core/test_roster.py
+++ b/tests/core/test_roster.py
@@ -4,6 +4,7 @@
 """
 
 import itertools
+import math
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -47,6 +48,8 @@
         self.last_tick = now
         self.pause_s = 0.0
         self.seen_at: dict[str, float] = {}
+        # Members in the directory, dead ones included.
+        self.known = {name}
         self.has_log = True
         self.is_paused = False
         self.is_released = False
@@ -120,6 +123,17 @@
             self.group[member.name] = int(side)
             member.has_log = side
 
+    @rule(
+        first=st.lists(st.booleans(), min_size=5, max_size=5),
+        second=st.lists(st.booleans(), min_size=5, max_size=5),
+    )
+    def split_twice(self, first: list[bool], second: list[bool]) -> None:
+        """Split the domain anew once the first split has moved items."""
+        self.split(first)
+        self.run_on(100)
+        self.split(second)
+        self.run_on(30)
+
     @rule()
     def heal(self) -> None:
         self.group = dict.fromkeys(self.members, 0)
@@ -193,15 +207,22 @@
         ]
         for peer in peers:
             member.seen_at[peer.name] = now
+            member.known |= peer.known
             member.take_in(self.log[: peer.offset + 1], now)
             if self.asks:
                 epoch = peer.state.roster('d').epoch
                 member.heard = max(member.heard, epoch)
                 member.tenure.confirm(now, peer.name, epoch)
+            member.tenure.record_applied(
+                now, peer.name, peer.state.roster('d').epoch
+            )
+        member.tenure.set_member_count(len(member.known))
         if member.has_log:
             member.take_in(self.log, now)
             member.read_at = now
-            member.members_at_read = len(self.members)
+            member.known = set(self.members)
+        if member.has_log or member.read_at == float('-inf'):
+            member.members_at_read = len(member.known)
         member.members_now = len(member.members(now))
         if member.has_log or member.pause_s <= FENCE.max_pause_s:
             member.pause_s = 0.0
@@ -272,6 +293,50 @@
     world.run_on(100)
 
 
+def test_member_that_changes_sides_does_not_bring_two_holders() -> None:
+    """Guards against two majorities that share a member one after another.
+
+    A member proposes with a majority that loses a member at once. That member
+    completes the majority of the former holder, which has lost the log and
+    does not know of its replacement.
+    """
+    world = FenceMachine()
+    world.begin_world(asks=True, size=5)
+    world.run_on(27)
+    world.split([True, True, False, False, True])
+    world.run_on(204)
+    world.split([False, False, True, False, True])
+    world.run_on(30)
+
+
+def test_holder_that_restarts_without_the_log_needs_a_majority() -> None:
+    """Guards against a holder that has never read how large its domain is."""
+    world = _world(3)
+    world.restart(1)
+    world.split_twice(
+        [True, False, False, False, False], [True, False, True, False, False]
+    )
+
+
+def test_new_holder_waits_for_a_majority_that_knows_the_roster() -> None:
+    """Guards against a start delay that runs while few know the roster."""
+    tenure = HoldingPeriods('b', 0.0, delay_s=25.0, keep_s=900)
+    tenure.set_member_count(5)
+    tenure.apply_roster(1.0, 4, ('a',))
+    tenure.apply_roster(9.0, 6, ('a', 'b'))
+    item = next(n for n in map(str, range(50)) if holder_of(n, 'ab') == 'b')
+    tenure.record_applied(10.0, 'c', 5)
+    tenure.record_applied(11.0, 'd', 6)
+    assert tenure.held_since(item) == math.inf
+    assert tenure.unconfirmed_holders(99.0) == {'a'}
+    assert tenure.awaited_members('acde') == ['a', 'c', 'e']
+    tenure.record_applied(99.0, 'e', 7)
+    assert tenure.held_since(item) == 99.0 + 25.0
+    assert tenure.awaited_members('acde') == []
+    tenure.confirm(100.0, 'a', 6)
+    assert tenure.held_since(item) == 100.0
+
+
 @pytest.mark.parametrize('item', ITEMS)
 def test_log_page_handled_after_a_pause_is_not_fresh(item: str) -> None:
     """Guards against a start delay that ignores the longest pause.
