Refuse new requests before a stop takes its parts down

Cause: a stop took new requests until its first idle moment, and what came in the 20 ms in which it closed connections, tasks and links was dispatched into these. A request that waited for a token did not count as in flight. Ruled out: a longer pause before the links close: requests keep coming on open connections, so any moment can be hit.

--- a/packages/dataplane/src/turmericrouter_dataplane/application.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/application.py
@@ -18,6 +18,7 @@
 from turmericrouter_dataplane.decision_log import DecisionLog
 from turmericrouter_dataplane.decision_log import STDOUT_FD
 from turmericrouter_dataplane.dispatcher import Dispatcher
+from turmericrouter_dataplane.drain import Drain
 from turmericrouter_dataplane.fleet_config import FleetConfig
 from turmericrouter_dataplane.frames import HostRecord
 from turmericrouter_dataplane.gate import Gate
@@ -53,11 +54,8 @@
 # The first write of the host record waits this long for the announcement of
 # the target, which saves a second write.
 _FIRST_ANNOUNCEMENT_TIMEOUT_S = 1.8
-# A stopping daemon serves for at least this long, since callers are routed to
-# it until two readiness checks have failed.
-_MIN_DRAIN_S = 2.6
-# Time kept for closing connections before the process is killed.
-_CLOSE_MARGIN_S = 1.0
+# Time for the links to send their last data.
+_LINK_CLOSE_S = 0.02
 # Idle caller connections are closed this long after the idle timeout, within
 # which callers may reuse them.
 _IDLE_CLOSE_MARGIN_S = 1.0
@@ -175,6 +173,14 @@
             )
         )
         self._links = LinkServer(self._members)
+        self._drain = Drain(
+            callers=self._callers,
+            peers=self._members,
+            dispatcher=self._dispatcher,
+            gate=self._gate,
+            timers=self._timers,
+            log=self._log,
+        )
         self._tasks: list[asyncio.Task[None]] = []
         self._target_known = asyncio.Event()
         self._record_changed = asyncio.Event()
@@ -288,33 +294,12 @@
         every(_SETTINGS_CHECK_PERIOD_S, self._check_settings, name='settings')
 
     async def _stop(self) -> None:
-        started_at = self._timers.now()
-        self._log.event(
-            'stopping',
-            signal=self._stop_reason,
-            in_flight=self._dispatcher.in_flight,
-        )
-        self._callers.is_leaving = True
-        self._members.is_leaving = True
-        self._members.broadcast_status()
-        drain_end = started_at + self._settings.stop_within_s - _CLOSE_MARGIN_S
-        while (now := self._timers.now()) < drain_end:
-            is_idle = not self._dispatcher.in_flight and self._gate.is_idle
-            if is_idle and now - started_at > _MIN_DRAIN_S:
-                break
-            await asyncio.sleep(0.05)
-        self._callers.stop_listening()
-        self._callers.close_idle(0.0)
+        await self._drain.run(self._stop_reason, self._settings.stop_within_s)
         for task in self._tasks:
             task.cancel()
-        self._log.event(
-            'stopped',
-            after_s=round(self._timers.now() - started_at, 2),
-            in_flight=self._dispatcher.in_flight,
-        )
         self._links.stop()
         self._members.stop()
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(_LINK_CLOSE_S)
         self._gate.stop()
         self._timers.stop()
         self._log.flush()
--- a/packages/dataplane/src/turmericrouter_dataplane/dispatcher.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/dispatcher.py
@@ -19,6 +19,7 @@
 from turmericrouter_dataplane.gate import Gate
 from turmericrouter_dataplane.header_names import HeaderNames
 from turmericrouter_dataplane.http_server import HttpRequest
+from turmericrouter_dataplane.intake import Intake
 from turmericrouter_dataplane.links import Link
 from turmericrouter_dataplane.metrics import Metrics
 from turmericrouter_dataplane.policy import retry_after
@@ -113,7 +114,14 @@
         self._deadline_name = headers.deadline_ms.lower()
         self._heads = RequestHeads(headers, service)
         self._table: RouteTable | None = None
-        self.in_flight = 0
+        self._begun = 0
+        self._awaiting_tokens = 0
+        self.intake = Intake.OPEN
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests that were taken and have no answer."""
+        return self._begun + self._awaiting_tokens
 
     def set_service(self, service: str) -> None:
         """Set the service that requests of this host come from."""
@@ -170,11 +178,13 @@
         """Start a request once its workspace has granted a token."""
 
         def resume(is_admitted: bool, wait_s: float) -> None:
+            self._awaiting_tokens -= 1
             if is_admitted:
                 self._begin(call)
             else:
                 self._refuse_quota(call, wait_s)
 
+        self._awaiting_tokens += 1
         self._exchange.take(workspace.name, resume)
 
     def abandon(self, request: HttpRequest) -> None:
@@ -194,8 +204,13 @@
         self._close(call)
 
     def _is_refused(self, call: Call) -> bool:
-        """Refuse poison requests and requests to overloaded routes."""
+        """Refuse poison requests, and those that find no capacity here."""
         now = call.arrived_at
+        if not self.intake.takes(call.is_nested):
+            self._refusals.refuse_early(
+                call.request, Reason.DAEMON_STOPPING, call.request_id
+            )
+            return True
         if self._crash_records.is_blocked(call.digest, now):
             self._refusals.refuse_early(
                 call.request, Reason.QUARANTINED, call.request_id
@@ -288,7 +303,7 @@
         table = self._table
         assert table is not None
         call.service = table.pick_service(call.route)
-        self.in_flight += 1
+        self._begun += 1
         self._budget.record_first_attempt(call.service)
         call.deadline = self._timers.at(
             call.expires_at + _ANSWER_GRACE_S, lambda: self._expire(call)
@@ -478,4 +493,4 @@
         call.request.context = None
         if call.deadline is not None:
             call.deadline.cancel()
-        self.in_flight -= 1
+        self._begun -= 1
--- a/packages/dataplane/src/turmericrouter_dataplane/gate.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate.py
@@ -60,6 +60,8 @@
         self._running = 0
         self._connections = TargetConnections(headers)
         self._limit = 0
+        # Whether new requests are refused because the daemon stops.
+        self.is_closed = False
         self._signature = headers.signature.lower()
         self._not_run = headers.not_run.lower()
 
@@ -119,7 +121,9 @@
         self._open_count += 1
         job.peak_load = self.load
         target = self._target
-        if target is None or not self._is_reachable:
+        if self.is_closed:
+            self._refuse(job, Reason.DAEMON_STOPPING)
+        elif target is None or not self._is_reachable:
             self._refuse(job, Reason.TARGET_UNREACHABLE)
         elif target.state is not TargetState.SERVING:
             self._refuse(job, Reason.TARGET_LEAVING)
