Hand the tokens of a workspace over to its new owner

A host that was asked by others granted a whole limit although it did not own the workspace in its own view, so two acted; a stopping host went on owning; each new owner began with a fifth of the burst though it was spent; and the fallback buckets of all hosts, a burst together, filled beside a spent one. Ruled out: a smaller part of the burst for new owners, which refuses calm workspaces at each restart and leaves the two owners. Peers that do not report the new protocol revision get no hand-over frame.

--- a/packages/dataplane/src/turmericrouter_dataplane/drain.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/drain.py
@@ -20,12 +20,10 @@
 
 
 class Peers(Protocol):
-    """Tells the other hosts that this one leaves."""
+    """The other hosts."""
 
-    is_leaving: bool
-
-    def broadcast_status(self) -> None:
-        """Send the status of this host to all peers."""
+    def leave(self) -> None:
+        """Tell all peers that this host leaves."""
 
 
 class Drain:
@@ -76,8 +74,7 @@
             'stopping', signal=cause, in_flight=self._dispatcher.in_flight
         )
         self._callers.is_leaving = True
-        self._peers.is_leaving = True
-        self._peers.broadcast_status()
+        self._peers.leave()
         ends_at = started_at + stop_within_s - _CLOSE_MARGIN_S
         await self._sleep_until(min(started_at + _NOTICE_S, ends_at))
         # Requests that run at the target still need their nested calls.
--- a/packages/dataplane/src/turmericrouter_dataplane/frames.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/frames.py
@@ -15,6 +15,12 @@
 MAX_FRAME_BYTES = 80 * 1024 * 1024
 
 
+# Revision of the frames. A daemon closes a link on a frame that it does not
+# know, so newer frames go only to peers that report at least their revision.
+PROTOCOL_REVISION = 1
+HANDOVER_REVISION = 1
+
+
 class HostRecord(msgspec.Struct, frozen=True, array_like=True):
     """Record of a host in the directory.
 
@@ -51,6 +57,7 @@
         waiting: Requests that wait at the gate.
         limit: Requests that the gate lets run at once.
         is_leaving: Whether the daemon is about to stop.
+        protocol: Revision of the frames that the daemon can read.
     """
 
     host: HostRecord
@@ -59,6 +66,7 @@
     waiting: int = 0
     limit: int = 0
     is_leaving: bool = False
+    protocol: int = 0
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag=11):
@@ -182,11 +190,25 @@
         correlation: The one of the request.
         tokens: Tokens for the sender, none if the limit is reached.
         wait_ms: Time until a token is available if there is none.
+        is_owner: Whether the sender owns the workspace in its own view.
     """
 
     correlation: int
     tokens: int
     wait_ms: int
+    is_owner: bool = True
+
+
+class TokenHandover(msgspec.Struct, frozen=True, array_like=True, tag=12):
+    """Sent by a host to the one that owns a workspace in its place.
+
+    Args:
+        workspace: Name of the workspace.
+        tokens: Tokens left in the sender's bucket.
+    """
+
+    workspace: str
+    tokens: float
 
 
 class Introduction(msgspec.Struct, frozen=True, array_like=True, tag=8):
@@ -207,6 +229,7 @@
     | Heartbeat
     | TokenRequest
     | TokenGrant
+    | TokenHandover
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/dataplane/src/turmericrouter_dataplane/members.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/members.py
@@ -13,12 +13,15 @@
 from turmericrouter_dataplane.frames import Dispatch
 from turmericrouter_dataplane.frames import encode_frame
 from turmericrouter_dataplane.frames import Frame
+from turmericrouter_dataplane.frames import HANDOVER_REVISION
 from turmericrouter_dataplane.frames import Heartbeat
 from turmericrouter_dataplane.frames import HostRecord
 from turmericrouter_dataplane.frames import Introduction
 from turmericrouter_dataplane.frames import Outcome
+from turmericrouter_dataplane.frames import PROTOCOL_REVISION
 from turmericrouter_dataplane.frames import Status
 from turmericrouter_dataplane.frames import TokenGrant
+from turmericrouter_dataplane.frames import TokenHandover
 from turmericrouter_dataplane.frames import TokenRequest
 from turmericrouter_dataplane.gate import Gate
 from turmericrouter_dataplane.gate_job import GateJob
@@ -105,6 +108,7 @@
             Introduction: self._handle_introduction,
             TokenRequest: self._handle_token_request,
             TokenGrant: self._handle_token_grant,
+            TokenHandover: self._handle_token_handover,
         }
         chooser.update(record)
         self._min_hosts = _ASSUMED_FLEET_SIZE
@@ -214,8 +218,13 @@
             now=now,
             silence_timeout_s=self.silence_timeout_s,
             min_hosts=self._min_hosts,
+            is_leaving=self.is_leaving,
         )
-        self._quota.set_reachable(reach, now)
+        for handover in self._quota.set_reachable(reach, now):
+            link = self._pool.get(handover.owner)
+            protocol = views[handover.owner].protocol
+            if link is not None and protocol >= HANDOVER_REVISION:
+                link.send(TokenHandover(handover.workspace, handover.tokens))
 
     def _update_host_count(self) -> None:
         hosts = len(self._chooser.views)
@@ -239,6 +248,12 @@
         for link in self._pool.open_links():
             link.send_encoded(heartbeat)
 
+    def leave(self) -> None:
+        """Stop owning workspaces, and tell all peers that this host leaves."""
+        self.is_leaving = True
+        self._update_reachable(time.monotonic())
+        self.broadcast_status()
+
     def broadcast_status(self) -> None:
         """Send the status of this host to all peers."""
         status = encode_frame(self._status())
@@ -328,7 +343,16 @@
         now = time.monotonic()
         grant = self._quota.grant(frame.workspace, frame.prefetch, now)
         wait_ms = int(grant.wait_s * 1000)
-        link.send(TokenGrant(frame.correlation, grant.tokens, wait_ms))
+        link.send(
+            TokenGrant(
+                frame.correlation, grant.tokens, wait_ms, grant.is_owner
+            )
+        )
+
+    def _handle_token_handover(self, link: Link, frame: TokenHandover) -> None:
+        self._quota.accept_handover(
+            frame.workspace, frame.tokens, time.monotonic()
+        )
 
     def _handle_token_grant(self, link: Link, frame: TokenGrant) -> None:
         self.on_grant(frame)
@@ -358,6 +382,7 @@
         self._pool.connect(record.name, record.address)
         view.is_leaving = status.is_leaving
         view.limit = status.limit
+        view.protocol = status.protocol
         self._update_load(view, status, now)
 
     def _handle_heartbeat(self, link: Link, heartbeat: Heartbeat) -> None:
@@ -444,4 +469,5 @@
             gate.waiting,
             gate.limit,
             self.is_leaving,
+            PROTOCOL_REVISION,
         )
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/reachable_hosts.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/reachable_hosts.py
@@ -18,6 +18,7 @@
     now: float,
     silence_timeout_s: float,
     min_hosts: int,
+    is_leaving: bool = False,
 ) -> ReachableHosts:
     """Return the reachable hosts and their fraction of the fleet.
 
@@ -28,8 +29,10 @@
         silence_timeout_s: Time without a message after which a host
             counts as partitioned.
         min_hosts: Lower bound of the fleet size.
+        is_leaving: Whether this host stops; then it owns nothing, unless it
+            reaches no other host.
     """
-    hosts = {own.record.name}
+    hosts = set()
     domains = {own.record.domain}
     responsive = 1
     unresponsive: list[HostView] = []
@@ -49,6 +52,8 @@
         if view.record.domain not in domains
         or now - max(view.last_seen_at, view.added_at) < _HOST_GONE_AFTER_S
     ]
+    if not (is_leaving and hosts):
+        hosts.add(own.record.name)
     fleet_size = max(responsive + len(cut_off), min_hosts)
     return ReachableHosts(
         frozenset(hosts), responsive / fleet_size, fleet_size
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/target_chooser.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/target_chooser.py
@@ -61,6 +61,7 @@
     record: HostRecord
     is_linked: bool = False
     is_leaving: bool = False
+    protocol: int = 0
     last_seen_at: float = -1e9
     added_at: float = -1e9
     running: int = 0
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/workspace_quota.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/workspace_quota.py
@@ -43,10 +43,27 @@
     Args:
         tokens: Granted tokens.
         wait_s: Time until a token is available if none was granted.
+        is_owner: Whether the host owns the workspace in its own view.
     """
 
     tokens: int
     wait_s: float = 0.0
+    is_owner: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Handover:
+    """Bucket of a workspace that this host no longer owns.
+
+    Args:
+        owner: The new owner.
+        workspace: Name of the workspace.
+        tokens: Tokens left in the bucket.
+    """
+
+    owner: str
+    workspace: str
+    tokens: float
 
 
 class _TokenBucket:
@@ -104,6 +121,8 @@
         self._buckets: dict[str, _TokenBucket] = {}
         self._fallback_buckets: dict[str, _TokenBucket] = {}
         self._owners: dict[str, str] = {}
+        # When each workspace was last known to have spent its burst.
+        self._exhausted_at: dict[str, float] = {}
 
     def configure(self, workspaces: Iterable[Workspace], now: float) -> None:
         """Apply the limits of a configuration."""
@@ -119,18 +138,47 @@
             self._buckets,
             self._fallback_buckets,
             self._owners,
+            self._exhausted_at,
         ):
             for name in by_workspace.keys() - self._limits.keys():
                 del by_workspace[name]
         self._resize_buckets(now)
 
-    def set_reachable(self, reachable: ReachableHosts, now: float) -> None:
-        """Set the reachable hosts, and resize the buckets."""
+    def set_reachable(
+        self, reachable: ReachableHosts, now: float
+    ) -> list[Handover]:
+        """Set the reachable hosts, and resize the buckets.
+
+        Returns:
+            The buckets that now belong to other hosts.
+        """
         previous, self._reachable = self._reachable, reachable
+        if previous == reachable:
+            return []
+        handovers: list[Handover] = []
         if previous.hosts != reachable.hosts:
             self._owners.clear()
-        if previous != reachable:
-            self._resize_buckets(now)
+            handovers = self._release_buckets(now)
+        self._resize_buckets(now)
+        return handovers
+
+    def accept_handover(
+        self, workspace: str, tokens: float, now: float
+    ) -> None:
+        """Continue with the tokens that the previous owner had left.
+
+        Args:
+            workspace: Name of the workspace.
+            tokens: Tokens left at the previous owner.
+            now: Monotonic seconds.
+        """
+        if workspace not in self._limits:
+            return
+        bucket = self._buckets.get(workspace)
+        if bucket is not None:
+            bucket.tokens = min(bucket.tokens, tokens)
+        elif tokens < 1.0:
+            self._exhausted_at[workspace] = now
 
     def is_limited(self, workspace: str) -> bool:
         """Return whether requests of a workspace need tokens."""
@@ -156,17 +204,30 @@
             return Grant(1 + prefetch)
         bucket = self._buckets.get(workspace)
         if bucket is None:
-            # The requesting host sees other reachable hosts and assumes
-            # that this host is the owner.
-            bucket = self._create_bucket(workspace, now)
+            # The requesting host sees other reachable hosts. Both this host
+            # and the owner in its own view would grant the whole limit.
+            return Grant(0, is_owner=False)
         bucket.refill(now)
         if bucket.tokens < 1.0:
+            self._exhausted_at[workspace] = now
             return self._refuse(bucket)
         spare = int(bucket.tokens - _PREFETCH_MIN_FILL_FRACTION * bucket.burst)
         tokens = 1 + max(0, min(prefetch, spare - 1))
         bucket.tokens -= tokens
         return Grant(tokens)
 
+    def record_refusal(self, workspace: str, now: float) -> None:
+        """Record that the owner refused a request of a workspace.
+
+        Its burst is spent, so the fallback bucket must not add to it if the
+        owner is lost.
+        """
+        self._exhausted_at[workspace] = now
+        bucket = self._fallback_buckets.get(workspace)
+        if bucket is not None:
+            bucket.refill(now)
+            bucket.tokens = 0.0
+
     def take_fallback_token(self, workspace: str, now: float) -> bool:
         """Take a token from the fallback bucket of this host.
 
@@ -206,31 +267,47 @@
         return Grant(0, min(_MAX_RETRY_AFTER_S, missing / bucket.rate_per_s))
 
     def _resize_buckets(self, now: float) -> None:
-        """Resize own buckets by the reachable hosts, and drop others."""
+        """Resize the buckets of this host by its reachable hosts."""
         reachable_fraction = self._reachable.reachable_fraction
         for name, (rate, burst) in self._limits.items():
             self._resize_fallback_bucket(name, now)
             bucket = self._buckets.get(name)
-            if self.owner(name) != self._host:
-                self._buckets.pop(name, None)
-            elif bucket is None:
-                self._create_bucket(name, now)
+            if bucket is None:
+                if self.owner(name) == self._host:
+                    self._create_bucket(name, now)
             else:
                 bucket.resize(
                     rate * reachable_fraction, burst * reachable_fraction, now
                 )
 
-    def _create_bucket(self, name: str, now: float) -> _TokenBucket:
+    def _release_buckets(self, now: float) -> list[Handover]:
+        """Remove the buckets of workspaces that this host no longer owns."""
+        handovers = []
+        for name in list(self._buckets):
+            owner = self.owner(name)
+            if owner == self._host:
+                continue
+            bucket = self._buckets.pop(name)
+            bucket.refill(now)
+            if bucket.tokens < 1.0:
+                self._exhausted_at[name] = now
+            handovers.append(Handover(owner, name, bucket.tokens))
+        return handovers
+
+    def _create_bucket(self, name: str, now: float) -> None:
         rate, burst = self._limits[name]
         reachable_fraction = self._reachable.reachable_fraction
-        bucket = _TokenBucket(
+        tokens = _INITIAL_FILL_FRACTION * burst
+        exhausted_at = self._exhausted_at.get(name)
+        if exhausted_at is not None:
+            # The previous owner may have granted what has accrued since.
+            tokens = min(tokens, rate * (now - exhausted_at))
+        self._buckets[name] = _TokenBucket(
             rate * reachable_fraction,
             burst * reachable_fraction,
-            _INITIAL_FILL_FRACTION * burst * reachable_fraction,
+            tokens * reachable_fraction,
             now,
         )
-        self._buckets[name] = bucket
-        return bucket
 
     def _resize_fallback_bucket(self, name: str, now: float) -> None:
         rate, burst = self._limits[name]
--- a/packages/dataplane/src/turmericrouter_dataplane/token_exchange.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/token_exchange.py
@@ -116,10 +116,16 @@
         waiter = self._waiting.pop(grant.correlation, None)
         if waiter is None:
             return
-        if grant.tokens > 1:
+        now = self._timers.now()
+        if not grant.is_owner:
+            self._use_fallback_bucket(waiter.workspace, waiter.resume, now)
+            return
+        if not grant.tokens:
+            self._quota.record_refusal(waiter.workspace, now)
+        elif grant.tokens > 1:
             flow = self._flows[waiter.workspace]
             flow.prefetched = grant.tokens - 1
-            flow.prefetched_until = self._timers.now() + _PREFETCH_WINDOW_S
+            flow.prefetched_until = now + _PREFETCH_WINDOW_S
         waiter.resume(grant.tokens > 0, grant.wait_ms / 1000)
 
     def _request_tokens(
