Bound the memory and size of answers that never end

Cause: the HTTP client kept whatever a target or the log service sent until the deadline: at 1,000 Mbit/s that is 250 MB within the two seconds of a route, more than a host may use. Trailers were taken for header lines, too. A refusal without an id on a connection in use again could be the late copy of an earlier one, and a request that must not run twice was then told not-run. Ruled out: a limit a connection alone, which 50 connections multiply. Conclusion: 256 KB a head, 16 MB an answer, 64 MB for all unfinished ones of a process; the request fails as an invalid answer, which counts against the target's health.

--- a/packages/dataplane/src/turmericrouter_dataplane/gate.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate.py
@@ -296,7 +296,19 @@
 
     def _classify(self, job: GateJob, answer: HttpResponse) -> None:
         headers, status = answer.headers, answer.status
-        if status == 421 or self._not_run in headers:
+        is_refusal = status == 421 or self._not_run in headers
+        if is_refusal and not (
+            answer.is_attributed or job.frame.is_idempotent
+        ):
+            # It may be a late copy of the answer to an earlier request.
+            self._reply(
+                job,
+                Verdict.MAY_HAVE_RUN,
+                Reason.TARGET_ANSWER_INVALID,
+                sent=True,
+            )
+            return
+        if is_refusal:
             reason = (
                 Reason.TARGET_RETIRED if status == 421 else Reason.TARGET_SHED
             )
--- a/packages/dataplane/src/turmericrouter_dataplane/http_client.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/http_client.py
@@ -11,9 +11,16 @@
 
 from turmericrouter_dataplane.http_server import HOP_BY_HOP_HEADERS
 from turmericrouter_dataplane.http_server import status_line
+from turmericrouter_dataplane.receive_budget import ReceiveBudget
 
 # TCP drops a connection whose sent data stays unacknowledged this long.
 USER_TIMEOUT_MS = 3000
+# Size of a head, with the interim answers and late ones before it.
+MAX_HEAD_BYTES = 256 * 1024
+# Size of a whole answer with its framing.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# Unfinished answers of a process; a fraction of the memory of a small host.
+MAX_UNFINISHED_BYTES = 64 * 1024 * 1024
 
 
 class Failure(enum.Enum):
@@ -31,9 +38,11 @@
         head: Status line and the headers that may be forwarded.
         headers: All headers by lower-case name.
         body: Complete body without transfer coding.
+        is_attributed: Whether the answer certainly belongs to the request:
+            it has its id, or is the first on its connection.
     """
 
-    __slots__ = ('body', 'head', 'headers', 'status')
+    __slots__ = ('body', 'head', 'headers', 'is_attributed', 'status')
 
     def __init__(
         self,
@@ -41,11 +50,14 @@
         head: bytes,
         headers: dict[bytes, bytes],
         body: bytes,
+        *,
+        is_attributed: bool = True,
     ) -> None:
         self.status = status
         self.head = head
         self.headers = headers
         self.body = body
+        self.is_attributed = is_attributed
 
 
 AnswerCallback = Callable[[HttpResponse | Failure], None]
@@ -71,6 +83,7 @@
         on_closed: Called once when the connection is closed.
         dropped_headers: Lower-case headers that are not forwarded.
         id_header: Lower-case header in which answers return the request id.
+        budget: Memory of unfinished answers, shared by connections.
     """
 
     def __init__(
@@ -79,6 +92,7 @@
         *,
         dropped_headers: frozenset[bytes] = frozenset(),
         id_header: bytes = b'',
+        budget: ReceiveBudget | None = None,
     ) -> None:
         self._on_closed = on_closed
         self._dropped_headers = HOP_BY_HOP_HEADERS | dropped_headers
@@ -95,6 +109,10 @@
         self._headers_done = False
         self._must_close = False
         self._answer: HttpResponse | None = None
+        self._budget = budget or ReceiveBudget(MAX_UNFINISHED_BYTES)
+        # Bytes received since the request was sent.
+        self._received_bytes = 0
+        self._sent_requests = 0
         self.idle_since = time.monotonic()
         self.keep_alive_s = 0.0
 
@@ -137,6 +155,7 @@
             is_head: Whether the request is a HEAD, whose answer has no body.
         """
         assert self._transport is not None
+        self._sent_requests += 1
         self._callback = callback
         self._expected_id = expected_id
         self._is_head_request = is_head
@@ -145,6 +164,7 @@
     def abort(self) -> None:
         """Close at once, without calling the callback."""
         self._callback = None
+        self._release_memory()
         if self._transport is not None:
             self._transport.abort()
 
@@ -166,6 +186,9 @@
             self._must_close = True
             self.close()
             return
+        if not self._count_received(len(data)):
+            self._fail(Failure.INVALID)
+            return
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -185,6 +208,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the request that awaits its answer."""
         self._transport = None
+        self._release_memory()
         self._on_closed(self)
         callback, self._callback = self._callback, None
         if callback is not None:
@@ -202,7 +226,9 @@
         self._body = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header."""
+        """Add a header; trailers after a chunked body are not forwarded."""
+        if self._headers_done:
+            return
         lower = name.lower()
         self._headers[lower] = value
         if lower not in self._dropped_headers:
@@ -254,6 +280,7 @@
             status_line(status) + b''.join(self._header_lines),
             headers,
             body[0] if len(body) == 1 else b''.join(body),
+            is_attributed=bool(echoed) or self._sent_requests == 1,
         )
 
     def _answers_other_request(self, status: int, echoed: bytes) -> bool:
@@ -276,6 +303,7 @@
             return
         self._answer = None
         self._callback = None
+        self._release_memory()
         self.idle_since = time.monotonic()
         callback(answer)
 
@@ -288,9 +316,25 @@
             if name == b'timeout' and seconds.isdigit():
                 self.keep_alive_s = float(seconds)
 
+    def _count_received(self, size: int) -> bool:
+        """Count received data; return whether the answer may go on."""
+        self._received_bytes += size
+        is_within_budget = self._budget.take(size)
+        is_in_head = not (self._in_message and self._headers_done)
+        limit = MAX_HEAD_BYTES if is_in_head else MAX_ANSWER_BYTES
+        return is_within_budget and self._received_bytes <= limit
+
+    def _release_memory(self) -> None:
+        """Drop what was received of an answer."""
+        self._budget.give_back(self._received_bytes)
+        self._received_bytes = 0
+        self._body = []
+        self._header_lines = []
+
     def _fail(self, failure: Failure) -> None:
         callback, self._callback = self._callback, None
         self._must_close = True
+        self._release_memory()
         if self._transport is not None:
             self._transport.abort()
         if callback is not None:
@@ -305,6 +349,7 @@
     timeout_s: float,
     dropped_headers: frozenset[bytes] = frozenset(),
     id_header: bytes = b'',
+    budget: ReceiveBudget | None = None,
 ) -> HttpClientConnection:
     """Open a connection.
 
@@ -318,6 +363,7 @@
                 on_closed,
                 dropped_headers=dropped_headers,
                 id_header=id_header,
+                budget=budget,
             ),
             ip,
             port,
--- a/packages/dataplane/src/turmericrouter_dataplane/target_connections.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/target_connections.py
@@ -5,6 +5,7 @@
 from turmericrouter_dataplane import http_client
 from turmericrouter_dataplane.header_names import HeaderNames
 from turmericrouter_dataplane.http_client import HttpClientConnection
+from turmericrouter_dataplane.receive_budget import ReceiveBudget
 from turmericrouter_dataplane.settings import Address
 
 CONNECT_TIMEOUT_S = 1.0
@@ -29,6 +30,7 @@
     def __init__(self, headers: HeaderNames) -> None:
         self._dropped_headers = frozenset({headers.load.lower()})
         self._id_header = headers.request_id.lower()
+        self._budget = ReceiveBudget(http_client.MAX_UNFINISHED_BYTES)
         self._idle: list[HttpClientConnection] = []
         self._all: set[HttpClientConnection] = set()
 
@@ -45,6 +47,7 @@
             timeout_s=CONNECT_TIMEOUT_S,
             dropped_headers=self._dropped_headers,
             id_header=self._id_header,
+            budget=self._budget,
         )
         self._all.add(connection)
         return connection
