Bear malformed records, stalled bodies and failed background work

Ruled out: a refused append counts as unknown (it doesn't in the dataplane: test_refused_append_did_not_happen passed before). Conclusion: background work that ends with an unexpected error is logged as task_failed and started again.

--- a/packages/dataplane/src/turmericrouter_dataplane/application.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/application.py
@@ -43,6 +43,7 @@
 from turmericrouter_dataplane.policy.workspace_quota import WorkspaceQuota
 from turmericrouter_dataplane.settings import Address
 from turmericrouter_dataplane.settings import Settings
+from turmericrouter_dataplane.supervisor import supervise
 from turmericrouter_dataplane.timers import TimerService
 from turmericrouter_dataplane.token_exchange import TokenExchange
 
@@ -274,8 +275,11 @@
             await metrics.start(settings.metrics.ip, settings.metrics.port)
         self._start_timers()
         self._tasks = [
-            asyncio.create_task(self._config.run()),
-            asyncio.create_task(self._sync_directory()),
+            asyncio.create_task(supervise(name, work, self._log))
+            for name, work in (
+                ('config', self._config.run),
+                ('directory', self._sync_directory),
+            )
         ]
         self._log.event(
             'started',
--- a/packages/dataplane/src/turmericrouter_dataplane/host_directory.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/host_directory.py
@@ -37,7 +37,8 @@
         """Read all records.
 
         Args:
-            on_own: Called with the stored record of this host.
+            on_own: Called with the stored record of this host; raises
+                `ValueError` if the record is invalid.
 
         Raises:
             LogServiceError: They could not be read.
@@ -47,14 +48,15 @@
         for item in page.records:
             try:
                 record = decode_record(item.value)
-            except ProtocolError as error:
+                if record.name == own:
+                    on_own(record)
+            except (ProtocolError, ValueError) as error:
                 self._log.event(
                     'host_record_skipped', peer=item.key, error=str(error)
                 )
                 continue
             if record.name == own:
                 self._stored_value = item.value
-                on_own(record)
             else:
                 self._members.add(record)
         self._members.mark_directory_loaded()
--- a/packages/dataplane/src/turmericrouter_dataplane/http_server.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/http_server.py
@@ -111,6 +111,8 @@
         self._pipelined: list[HttpRequest] = []
         self._current: HttpRequest | None = None
         self._failed = False
+        self._expects_continue = False
+        self.is_reading_body = False
         self.last_active = time.monotonic()
         # Time when the head being received began; infinite if there is none.
         self.head_started_at = math.inf
@@ -162,6 +164,7 @@
         self._received_bytes = 0
         self._target = b''
         self._has_body = False
+        self._expects_continue = False
         self.head_started_at = self.last_active
 
     def on_url(self, url: bytes) -> None:
@@ -174,15 +177,18 @@
         lower = name.lower()
         if lower in (b'content-length', b'transfer-encoding'):
             self._has_body = True
-        elif lower == b'expect' and self._transport is not None:
-            self._transport.write(_CONTINUE)
+        elif lower == b'expect' and value.lower() == b'100-continue':
+            self._expects_continue = True
         self._headers.append((lower, name, value))
         self._count_bytes(len(name) + len(value) + 4, 431)
 
     def on_headers_complete(self) -> None:
-        """Reset the byte count for the body."""
+        """Begin to read the body."""
         self._received_bytes = 0
         self.head_started_at = math.inf
+        self.is_reading_body = True
+        if self._expects_continue and self._transport is not None:
+            self._transport.write(_CONTINUE)
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
@@ -191,6 +197,7 @@
 
     def on_message_complete(self) -> None:
         """Handle the request, or queue it until earlier ones are answered."""
+        self.is_reading_body = False
         if self._failed:
             return
         request = HttpRequest(
@@ -225,7 +232,8 @@
         """
         if self._current is not request or self._transport is None:
             return False
-        close = request.close or self._server.is_leaving
+        is_last = self._failed and not self._pipelined
+        close = request.close or self._server.is_leaving or is_last
         self._transport.write(
             b'%bContent-Length: %d\r\n%b\r\n%b'
             % (head, len(body), b'Connection: close\r\n' if close else b'',
@@ -242,18 +250,19 @@
     def fail(self, status: int) -> None:
         """Reject the request being received and close the connection.
 
-        The status is only sent if no earlier request is being served.
+        Earlier requests are answered first; the status is then not sent.
         """
         self._failed = True
         self.head_started_at = math.inf
+        self.is_reading_body = False
+        self._body = []
         self._server.on_bad_request(status)
-        if self._transport is None:
+        if self._transport is None or self._current is not None:
             return
-        if self._current is None:
-            self._transport.write(
-                b'%bContent-Length: 0\r\nConnection: close\r\n\r\n'
-                % status_line(status)
-            )
+        self._transport.write(
+            b'%bContent-Length: 0\r\nConnection: close\r\n\r\n'
+            % status_line(status)
+        )
         self._transport.close()
 
     def close(self) -> None:
@@ -309,10 +318,15 @@
                 connection.close()
 
     def close_slow(self) -> None:
-        """Reject requests whose head takes too long to arrive."""
-        cutoff = time.monotonic() - self.limits.header_timeout_s
+        """Reject requests whose head is slow, or whose body has stopped."""
+        now = time.monotonic()
+        head_cutoff = now - self.limits.header_timeout_s
+        body_cutoff = now - self.limits.idle_timeout_s
         for connection in list(self.connections):
-            if connection.head_started_at < cutoff:
+            if connection.head_started_at < head_cutoff or (
+                connection.is_reading_body
+                and connection.last_active < body_cutoff
+            ):
                 connection.fail(408)
 
     def stop_listening(self) -> None:
--- a/packages/dataplane/src/turmericrouter_dataplane/links.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/links.py
@@ -267,7 +267,8 @@
                     _, link = await loop.create_connection(
                         lambda: Link(self._handler, peer), ip, int(port)
                     )
-            except (OSError, TimeoutError):
+            except (OSError, TimeoutError, ValueError, OverflowError):
+                # The last two: the host record has a malformed port.
                 await _wait_until_set(reconnect_now, wait_s)
                 wait_s = min(MAX_RECONNECT_S, wait_s * 1.5)
                 continue
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/crash_records.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/crash_records.py
@@ -17,9 +17,12 @@
 
     def add(self, digest: int, target_id: str, now: float) -> None:
         """Record a crash; each target counts once per request."""
+        # The request moves to the end, so that others are evicted first.
+        crashes = self._records.pop(digest, {})
         while len(self._records) >= _MAX_RECORDS:
             del self._records[next(iter(self._records))]
-        self._records.setdefault(digest, {})[target_id] = now
+        crashes[target_id] = now
+        self._records[digest] = crashes
 
     def clear(self, digest: int) -> None:
         """Remove the records of a request that has been answered."""
--- /dev/null
+++ b/tests/dataplane/test_http_server.py
@@ -0,0 +1,143 @@
+"""Guards against requests that end others, hold memory or wait for ever."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from turmericrouter_dataplane.fleet_config import CallerLimits
+from turmericrouter_dataplane.http_server import HttpRequest
+from turmericrouter_dataplane.http_server import HttpServer
+
+_GET = b'GET /%d HTTP/1.1\r\nHost: h\r\n\r\n'
+_POST = b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n'
+
+
+class _Handler:
+    """Keeps requests until the test answers them."""
+
+    def __init__(self) -> None:
+        self.requests: list[HttpRequest] = []
+        self.abandoned: list[HttpRequest] = []
+
+    def handle(self, request: HttpRequest) -> None:
+        self.requests.append(request)
+
+    def abandon(self, request: HttpRequest) -> None:
+        self.abandoned.append(request)
+
+    def answer(self, request: HttpRequest) -> None:
+        head = b'HTTP/1.1 200 OK\r\nX-Target: %b\r\n' % request.target
+        request.connection.respond(request, head, b'')
+
+
+class _Fixture:
+    """A server and one connection to it."""
+
+    def __init__(
+        self,
+        server: HttpServer,
+        handler: _Handler,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.server = server
+        self.handler = handler
+        self.reader = reader
+        self.writer = writer
+
+    async def send(self, data: bytes) -> None:
+        """Send bytes and let the server read them."""
+        self.writer.write(data)
+        await asyncio.sleep(0.05)
+
+
+def play(scenario: Callable[[_Fixture], Awaitable[None]]) -> None:
+    async def work() -> None:
+        handler = _Handler()
+        server = HttpServer(handler)
+        await server.start('127.0.0.1', 0)
+        assert server._server is not None
+        port = server._server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        async with asyncio.timeout(10.0):
+            await scenario(_Fixture(server, handler, reader, writer))
+        writer.close()
+        server.stop_listening()
+
+    asyncio.run(work())
+
+
+def test_malformed_pipelined_request_leaves_the_ones_before_it() -> None:
+    """Guards against an answer that is lost to a later request."""
+
+    async def scenario(fixture: _Fixture) -> None:
+        await fixture.send(_GET % 1 + _GET % 2 + b'\x00 nonsense\r\n\r\n')
+        assert not fixture.handler.abandoned
+        fixture.handler.answer(fixture.handler.requests[0])
+        fixture.handler.answer(fixture.handler.requests[1])
+        received = await fixture.reader.read()
+        assert b'X-Target: /1' in received
+        assert b'X-Target: /2' in received
+        assert received.count(b'HTTP/1.1 ') == 2
+
+    play(scenario)
+
+
+def test_body_that_stops_midway_is_refused() -> None:
+    """Guards against connections that hold a part of a body for ever."""
+
+    async def scenario(fixture: _Fixture) -> None:
+        fixture.server.limits = CallerLimits(idle_timeout_s=0.1)
+        await fixture.send(_POST + b'\r\n12345')
+        await asyncio.sleep(0.15)
+        fixture.server.close_slow()
+        received = await fixture.reader.read()
+        assert received.startswith(b'HTTP/1.1 408 ')
+        assert not fixture.handler.requests
+
+    play(scenario)
+
+
+def test_slow_body_that_goes_on_is_read() -> None:
+    """Guards against a limit on slow callers that do send."""
+
+    async def scenario(fixture: _Fixture) -> None:
+        fixture.server.limits = CallerLimits(idle_timeout_s=0.2)
+        await fixture.send(_POST + b'\r\n')
+        for _ in range(10):
+            await fixture.send(b'x')
+            fixture.server.close_slow()
+        assert fixture.handler.requests[0].body == b'x' * 10
+
+    play(scenario)
+
+
+def test_request_is_served_longer_than_a_body_may_pause() -> None:
+    """Guards against a body limit that counts the time of the target."""
+
+    async def scenario(fixture: _Fixture) -> None:
+        fixture.server.limits = CallerLimits(idle_timeout_s=0.05)
+        await fixture.send(_POST + b'\r\n0123456789')
+        await asyncio.sleep(0.1)
+        fixture.server.close_slow()
+        fixture.handler.answer(fixture.handler.requests[0])
+        line = await fixture.reader.readline()
+        assert line.startswith(b'HTTP/1.1 200 ')
+
+    play(scenario)
+
+
+def test_only_a_known_expectation_is_continued() -> None:
+    """Guards against an interim answer that the caller does not expect."""
+
+    async def scenario(fixture: _Fixture) -> None:
+        await fixture.send(_POST + b'Expect: something-else\r\n\r\n0123456789')
+        fixture.handler.answer(fixture.handler.requests[0])
+        line = await fixture.reader.readline()
+        assert line.startswith(b'HTTP/1.1 200 ')
+        await fixture.reader.readuntil(b'\r\n\r\n')
+        await fixture.send(_POST + b'Expect: 100-Continue\r\n\r\n')
+        line = await fixture.reader.readline()
+        assert line.startswith(b'HTTP/1.1 100 ')
+
+    play(scenario)
--- a/tests/dataplane/test_links.py
+++ b/tests/dataplane/test_links.py
@@ -164,3 +164,17 @@
         for start in range(0, len(data), size):
             read += reader.feed(data[start : start + size])
         assert read == frames
+
+
+def test_malformed_address_is_tried_again_later() -> None:
+    """Guards against a host record that ends the task of its link."""
+
+    async def work() -> None:
+        pool = LinkPool(Recorder())
+        for peer, address in (('a', '127.0.0.1:x'), ('b', '127.0.0.1:99999')):
+            pool.connect(peer, address)
+        await asyncio.sleep(0.1)
+        assert not any(task.done() for task in pool._tasks.values())
+        pool.stop()
+
+    asyncio.run(work())
