Detect silent hosts by a few watchers, and read the log by domain

Ruled out: faster heartbeats to all, 38,000 messages a second; membership by random probes, as long as links to all hosts are kept, since a link answers its probe itself. Conclusion: each host sends heartbeats each second to 6 others, which pass a suspicion on; every host then probes its own link, so nobody is removed by hearsay. Two hosts of a failure domain follow the log and copy it to the others; a reader that loses the log says so. Peers of an older revision get no frame that they don't know.

--- a/packages/dataplane/src/turmericrouter_dataplane/application.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/application.py
@@ -52,6 +52,8 @@
 _SWEEP_PERIOD_S = 1.0
 _SETTINGS_CHECK_PERIOD_S = 2.0
 _DIRECTORY_LOAD_PERIOD_S = 20.0
+# The same for hosts that do not follow the log; a new host dials them itself.
+_RARE_DIRECTORY_LOAD_PERIOD_S = 60.0
 # The first write of the host record waits this long for the announcement of
 # the target, which saves a second write.
 _FIRST_ANNOUNCEMENT_TIMEOUT_S = 1.8
@@ -152,6 +154,9 @@
             self._log_service, decode, self._apply_config, self._log, self._rng
         )
         self._members = self._make_members()
+        self._config.is_reader = self._members.is_log_reader
+        self._config.on_read = self._members.copy_config
+        self._config.on_connection_change = self._members.broadcast_status
         self._directory = HostDirectory(
             self._log_service, self._members, self._log
         )
@@ -344,7 +349,12 @@
         except LogServiceError as error:
             self._log.event('hosts_not_loaded', error=str(error))
         spread = 0.8 + 0.4 * self._rng.random()
-        return self._timers.now() + _DIRECTORY_LOAD_PERIOD_S * spread
+        period_s = (
+            _DIRECTORY_LOAD_PERIOD_S
+            if self._members.is_log_reader()
+            else _RARE_DIRECTORY_LOAD_PERIOD_S
+        )
+        return self._timers.now() + period_s * spread
 
     def _restore_target(self, record: HostRecord) -> None:
         """Restore the target from the host record stored before a restart."""
--- a/packages/dataplane/src/turmericrouter_dataplane/config_feed.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/config_feed.py
@@ -14,8 +14,11 @@
 from turmericrouter_dataplane.log_service import RecordPage
 from turmericrouter_dataplane.log_service import Stream
 
-# Longest wait of one read for a change.
-LONG_POLL_S = 8.0
+# Longest wait of one read for a change. A connection that has gone silent is
+# noticed only after it.
+LONG_POLL_S = 5.0
+# How often a host that does not follow the log checks whether it must.
+_DUTY_CHECK_PERIOD_S = 0.25
 _INITIAL_PAUSE_S = 0.1
 _MAX_PAUSE_S = 1.0
 CONFIG_KEY = 'config'
@@ -26,6 +29,9 @@
 class ConfigFeed:
     """Follows the configuration stream; versions never go back.
 
+    Only some hosts follow the stream once they have a configuration. The
+    others get copies from these.
+
     Args:
         log_service: The platform's log.
         decode: Reads a published document; raises `ConfigError`.
@@ -48,16 +54,30 @@
         self._log = log
         self._rng = rng
         self._is_connected = True
+        # Set by the owner: whether this host must follow the stream, and what
+        # to call after a change in it and after the log is lost or regained.
+        self.is_reader: Callable[[], bool] = lambda: True
+        self.on_read: Callable[[], None] = lambda: None
+        self.on_connection_change: Callable[[], None] = lambda: None
         self._refused_document = b''
         self.version = -1
         self.document = b''
         self.applied_at = 0.0
 
+    @property
+    def is_connected(self) -> bool:
+        """Return whether the last read of the log succeeded."""
+        return self._is_connected
+
     async def run(self) -> None:
         """Follow the stream until the task is cancelled."""
         pause_s = _INITIAL_PAUSE_S
         start: int | None = None
         while True:
+            if self.version >= 0 and not self.is_reader():
+                start = None
+                await asyncio.sleep(_DUTY_CHECK_PERIOD_S)
+                continue
             try:
                 if start is None:
                     page = await self._log_service.read_newest(
@@ -112,9 +132,12 @@
         )
 
     def _apply_page(self, page: RecordPage) -> None:
+        before = self.version
         for record in page.records:
             if record.key == CONFIG_KEY and record.value:
                 self.offer(record.value, 'log')
+        if self.version > before:
+            self.on_read()
 
     def _log_lost(self, error: LogServiceError) -> None:
         if self._is_connected:
@@ -122,8 +145,10 @@
             self._log.event(
                 'log_service_lost', error=str(error), version=self.version
             )
+            self.on_connection_change()
 
     def _log_regained(self) -> None:
         if not self._is_connected:
             self._is_connected = True
             self._log.event('log_service_regained', version=self.version)
+            self.on_connection_change()
--- a/packages/dataplane/src/turmericrouter_dataplane/frames.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/frames.py
@@ -17,8 +17,9 @@
 
 # Revision of the frames. A daemon closes a link on a frame that it does not
 # know, so newer frames go only to peers that report at least their revision.
-PROTOCOL_REVISION = 1
+PROTOCOL_REVISION = 2
 HANDOVER_REVISION = 1
+SUSPICION_REVISION = 2
 
 
 class HostRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -58,6 +59,7 @@
         limit: Requests that the gate lets run at once.
         is_leaving: Whether the daemon is about to stop.
         protocol: Revision of the frames that the daemon can read.
+        reads_log: Whether the daemon's last read of the log succeeded.
     """
 
     host: HostRecord
@@ -67,6 +69,7 @@
     limit: int = 0
     is_leaving: bool = False
     protocol: int = 0
+    reads_log: bool = True
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag=11):
@@ -76,11 +79,13 @@
         config_version: Version in force; -1 for none.
         running: Requests at the target.
         waiting: Requests that wait at the gate.
+        is_watched: Whether the receiver shall report the sender's silence.
     """
 
     config_version: int
     running: int
     waiting: int
+    is_watched: bool = False
 
 
 class Dispatch(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -211,6 +216,16 @@
     tokens: float
 
 
+class Suspicion(msgspec.Struct, frozen=True, array_like=True, tag=13):
+    """A host has fallen silent; the receivers probe their links to it.
+
+    Args:
+        host: Name of the silent host.
+    """
+
+    host: str
+
+
 class Introduction(msgspec.Struct, frozen=True, array_like=True, tag=8):
     """Known hosts of the sender, for a host that has just started."""
 
@@ -230,6 +245,7 @@
     | TokenRequest
     | TokenGrant
     | TokenHandover
+    | Suspicion
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/dataplane/src/turmericrouter_dataplane/members.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/members.py
@@ -20,6 +20,8 @@
 from turmericrouter_dataplane.frames import Outcome
 from turmericrouter_dataplane.frames import PROTOCOL_REVISION
 from turmericrouter_dataplane.frames import Status
+from turmericrouter_dataplane.frames import Suspicion
+from turmericrouter_dataplane.frames import SUSPICION_REVISION
 from turmericrouter_dataplane.frames import TokenGrant
 from turmericrouter_dataplane.frames import TokenHandover
 from turmericrouter_dataplane.frames import TokenRequest
@@ -28,10 +30,13 @@
 from turmericrouter_dataplane.links import Link
 from turmericrouter_dataplane.links import LinkPool
 from turmericrouter_dataplane.policy.crash_records import CrashRecords
+from turmericrouter_dataplane.policy.log_readers import is_log_reader
 from turmericrouter_dataplane.policy.reachable_hosts import find_reachable
 from turmericrouter_dataplane.policy.retry_budget import RetryBudget
 from turmericrouter_dataplane.policy.target_chooser import HostView
 from turmericrouter_dataplane.policy.target_chooser import TargetChooser
+from turmericrouter_dataplane.policy.watchers import choose_watchers
+from turmericrouter_dataplane.policy.watchers import WatchedHosts
 from turmericrouter_dataplane.policy.workspace_quota import WorkspaceQuota
 
 HEARTBEAT_PERIOD_S = 1.0
@@ -109,8 +114,14 @@
             TokenRequest: self._handle_token_request,
             TokenGrant: self._handle_token_grant,
             TokenHandover: self._handle_token_handover,
+            Suspicion: self._handle_suspicion,
         }
         chooser.update(record)
+        self._watched = WatchedHosts(
+            _SILENCE_TIMEOUT_PERIODS * HEARTBEAT_PERIOD_S
+        )
+        self._watchers: frozenset[str] = frozenset()
+        self._watcher_candidates: frozenset[str] = frozenset()
         self._min_hosts = _ASSUMED_FLEET_SIZE
         self._update_reachable(time.monotonic())
         self._update_host_count()
@@ -179,6 +190,7 @@
         self._chooser.remove(host)
         self._last_seen_at.pop(host, None)
         self._lagging_since.pop(host, None)
+        self._watched.forget(host)
         self._pool.remove(host)
         self._update_host_count()
         self._log.event('host_left', peer=host)
@@ -236,17 +248,31 @@
         return [name for name, at in self._last_seen_at.items() if at < oldest]
 
     def send_heartbeat(self) -> None:
-        """Send a heartbeat to all peers if one is due."""
+        """Send heartbeats to the watchers, and to all peers if one is due."""
         now = time.monotonic()
-        if now - self._heartbeat_sent_at < 0.9 * self._period_s:
-            return
-        self._heartbeat_sent_at = now
-        gate = self._gate
-        heartbeat = encode_frame(
-            Heartbeat(self._config.version, gate.running, gate.waiting)
+        links = self._pool.open_links()
+        is_due = now - self._heartbeat_sent_at >= 0.9 * self._period_s
+        if is_due:
+            self._heartbeat_sent_at = now
+        watchers = self._update_watchers(links)
+        version, gate = self._config.version, self._gate
+        plain = encode_frame(Heartbeat(version, gate.running, gate.waiting))
+        watched = encode_frame(
+            Heartbeat(version, gate.running, gate.waiting, True)
         )
-        for link in self._pool.open_links():
-            link.send_encoded(heartbeat)
+        for link in links:
+            if link.peer in watchers:
+                link.send_encoded(watched)
+            elif is_due:
+                link.send_encoded(plain)
+
+    def _update_watchers(self, links: list[Link]) -> frozenset[str]:
+        """Return the watchers of this host among the linked peers."""
+        linked = frozenset(link.peer for link in links)
+        if linked != self._watcher_candidates:
+            self._watcher_candidates = linked
+            self._watchers = choose_watchers(self._record.name, linked)
+        return self._watchers
 
     def leave(self) -> None:
         """Stop owning workspaces, and tell all peers that this host leaves."""
@@ -254,6 +280,22 @@
         self._update_reachable(time.monotonic())
         self.broadcast_status()
 
+    def is_log_reader(self) -> bool:
+        """Return whether this host follows the log for its domain."""
+        views = self._chooser.views
+        own = views[self._record.name]
+        return is_log_reader(own, (v for v in views.values() if v is not own))
+
+    def copy_config(self) -> None:
+        """Send the configuration to the other hosts of the domain."""
+        copy = encode_frame(
+            ConfigCopy(self._config.version, self._config.document)
+        )
+        for link in self._pool.open_links():
+            view = self._chooser.views.get(link.peer)
+            if view is not None and view.record.domain == self._record.domain:
+                link.send_encoded(copy)
+
     def broadcast_status(self) -> None:
         """Send the status of this host to all peers."""
         status = encode_frame(self._status())
@@ -265,11 +307,28 @@
         now = time.monotonic()
         self._pool.check(now)
         self._update_reachable(now)
+        self._report_silent_hosts(now)
         for peer in self._pool.suspects(now):
             view = self._chooser.views.get(peer)
             if view is not None:
                 view.avoid_until = now + _SUSPECT_PAUSE_S
 
+    def _report_silent_hosts(self, now: float) -> None:
+        """Probe the links to silent hosts, and let all peers do the same."""
+        for host in self._watched.take_silent(now):
+            self._log.event('host_suspected', peer=host)
+            self._probe_host(host, now)
+            report = encode_frame(Suspicion(host))
+            for link in self._pool.open_links():
+                view = self._chooser.views.get(link.peer)
+                if view is not None and view.protocol >= SUSPICION_REVISION:
+                    link.send_encoded(report)
+
+    def _probe_host(self, host: str, now: float) -> None:
+        link = self._pool.get(host)
+        if link is not None:
+            link.probe(now)
+
     def report_crash(self, digest: int, target_id: str) -> None:
         """Record and broadcast that a request has crashed the target."""
         self._log.event(
@@ -301,7 +360,7 @@
     def link_closed(self, link: Link) -> None:
         """Cancel the requests of a peer that can no longer get the outcome."""
         if not link.peer:
-            self._peer_names.pop(link, None)
+            self._watched.forget(self._peer_names.pop(link, ''))
             for job in self._jobs.pop(link, {}).values():
                 self._gate.cancel(job)
             return
@@ -383,6 +442,7 @@
         view.is_leaving = status.is_leaving
         view.limit = status.limit
         view.protocol = status.protocol
+        view.reads_log = status.reads_log
         self._update_load(view, status, now)
 
     def _handle_heartbeat(self, link: Link, heartbeat: Heartbeat) -> None:
@@ -391,8 +451,12 @@
         if view is None:
             return
         now = time.monotonic()
+        self._watched.record(host, now, is_watched=heartbeat.is_watched)
         self._update_load(view, heartbeat, now)
 
+    def _handle_suspicion(self, link: Link, frame: Suspicion) -> None:
+        self._probe_host(frame.host, time.monotonic())
+
     def _update_load(
         self, view: HostView, report: Status | Heartbeat, now: float
     ) -> None:
@@ -433,8 +497,9 @@
         link = self._pool.get(record.name)
         if link is None or now - self._config.applied_at < _CONFIG_LAG_S:
             return
-        if now - since < _MAX_CONFIG_LAG_S and not self._is_bootstrap_peer(
-            record.name
+        if now - since < _MAX_CONFIG_LAG_S and not (
+            record.name in self._watched
+            or self._is_bootstrap_peer(record.name)
         ):
             return
         link.send(ConfigCopy(self._config.version, self._config.document))
@@ -470,4 +535,5 @@
             gate.limit,
             self.is_leaving,
             PROTOCOL_REVISION,
+            self._config.is_connected,
         )
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/target_chooser.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/target_chooser.py
@@ -62,6 +62,7 @@
     is_linked: bool = False
     is_leaving: bool = False
     protocol: int = 0
+    reads_log: bool = True
     last_seen_at: float = -1e9
     added_at: float = -1e9
     running: int = 0
--- a/tests/dataplane/test_gate.py
+++ b/tests/dataplane/test_gate.py
@@ -4,6 +4,7 @@
 
 from dataplane_values import NAMES
 from turmericrouter_core.verdict import Reason
+from turmericrouter_core.verdict import Verdict
 from turmericrouter_dataplane.decision_log import DecisionLog
 from turmericrouter_dataplane.frames import Dispatch
 from turmericrouter_dataplane.frames import Outcome
@@ -21,12 +22,13 @@
     *,
     request_id: bytes = b'',
     max_queue_wait_ms: int = 1000,
+    is_idempotent: bool = True,
 ) -> Dispatch:
     return Dispatch(
         correlation,
         '',
         1,
-        True,
+        is_idempotent,
         2000,
         max_queue_wait_ms,
         _HEAD,
@@ -124,3 +126,44 @@
         server.close()
 
     asyncio.run(work())
+
+
+def test_refusal_without_an_id_on_a_used_connection_proves_nothing() -> None:
+    """Guards against a late copy of an earlier refusal.
+
+    Its request would be told that it has not run, while it runs.
+    """
+
+    async def work() -> None:
+        async def answer(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            while await reader.readuntil(b'\r\n\r\n'):
+                writer.write(
+                    b'HTTP/1.1 503 Busy\r\n%b: 1\r\nContent-Length: 0\r\n\r\n'
+                    % NAMES.not_run
+                )
+
+        server = await asyncio.start_server(answer, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        gate = make_gate()
+        address = Address('127.0.0.1', port)
+        gate.set_target(
+            LocalTarget('t-1', 'design', address, 4, TargetState.SERVING)
+        )
+        outcomes: list[Outcome] = []
+        for number in range(2):
+            gate.submit(
+                make_dispatch(number, is_idempotent=False), outcomes.append
+            )
+            async with asyncio.timeout(5.0):
+                while len(outcomes) <= number:
+                    await asyncio.sleep(0.01)
+        assert [o.verdict for o in outcomes] == [
+            Verdict.NOT_RUN,
+            Verdict.MAY_HAVE_RUN,
+        ]
+        gate.stop()
+        server.close()
+
+    asyncio.run(work())
--- a/tests/dataplane/test_members.py
+++ b/tests/dataplane/test_members.py
@@ -9,6 +9,7 @@
 from turmericrouter_dataplane.decision_log import DecisionLog
 from turmericrouter_dataplane.frames import HostRecord
 from turmericrouter_dataplane.frames import Status
+from turmericrouter_dataplane.frames import Suspicion
 from turmericrouter_dataplane.gate import Gate
 from turmericrouter_dataplane.links import Link
 from turmericrouter_dataplane.links import LinkServer
@@ -26,6 +27,7 @@
     version = 1
     document = b''
     applied_at = 0.0
+    is_connected = True
 
 
 def make_members(name: str) -> tuple[Members, TargetChooser]:
@@ -154,3 +156,30 @@
         members.stop()
 
     asyncio.run(work())
+
+
+def test_suspicion_probes_the_link_and_removes_nobody() -> None:
+    """Guards against a wrong suspicion that costs a host its traffic."""
+
+    async def work() -> None:
+        members, chooser = make_members('own')
+        probed: list[str] = []
+
+        class FakeLink:
+            is_open = True
+
+            def __init__(self, peer: str) -> None:
+                self.peer = peer
+
+            def probe(self, now: float) -> None:
+                probed.append(self.peer)
+
+        chooser.update(make_record('far')).is_linked = True
+        link: Any = FakeLink('far')
+        members._pool._links = {'far': link}
+        for host in ('far', 'unknown', 'own'):
+            members.handle(link, Suspicion(host))
+        assert probed == ['far']
+        assert chooser.views['far'].is_linked
+
+    asyncio.run(work())
--- a/tests/platform/standin_upstream.py
+++ b/tests/platform/standin_upstream.py
@@ -169,7 +169,10 @@
         )
         self._record_arrival(request, request_id, not is_rejected)
         if is_rejected:
-            return web.Response(status=503, headers={'X-Not-Executed': '1'})
+            return web.Response(
+                status=503,
+                headers={'X-Not-Executed': '1', 'X-Request-Id': request_id},
+            )
         body = await request.read()
         headers = dict(request.headers)
         self.runs.append(Run(request_id, request.raw_path, headers, body))
