Remember that a target has left across a restart and a store outage

Cause: a target's departure that was acknowledged during an outage of the store was known to the peers only; its daemon, killed and started again, read the older record from the log and sent requests to the target again. Ruled out: acknowledging only what the store holds, which leaves a target without an answer for as long as the store is down. Conclusion: the record of a leaving target never goes back under the same start, and peers tell the host.

--- a/packages/dataplane/src/turmericrouter_dataplane/announcements.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/announcements.py
@@ -50,6 +50,12 @@
         if self._target is None:
             self._accept(target)
 
+    def restore_departure(self, target_id: str, started_at_ms: int) -> None:
+        """Record that a target had left before this daemon restarted."""
+        current = self._target
+        if current is not None and current.started_at_ms == started_at_ms:
+            self.handle_departure(TargetDeparture(target_id))
+
     def handle_announcement(self, target: LocalTarget) -> None:
         """Handle a heartbeat of the target."""
         current = self._target
--- a/packages/dataplane/src/turmericrouter_dataplane/application.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/application.py
@@ -169,6 +169,7 @@
         self._members.on_grant = self._exchange.handle_grant
         self._dispatcher = self._make_dispatcher()
         self._announcements = Announcements(self._target_changed, self._log)
+        self._members.on_target_left = self._restore_departure
         self._callers = HttpServer(self._dispatcher, self._record_bad_request)
         self._ready = HttpServer(ReadyHandler(lambda: self.is_ready))
         self._control = HttpServer(
@@ -371,6 +372,12 @@
             )
         )
 
+    def _restore_departure(self, record: HostRecord) -> None:
+        """Apply what peers remember of the target of this host."""
+        self._announcements.restore_departure(
+            record.target_id, record.started_at_ms
+        )
+
     def _target_changed(self, target: LocalTarget) -> None:
         self._gate.set_target(target)
         self._members.update_own_record(
--- a/packages/dataplane/src/turmericrouter_dataplane/members.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/members.py
@@ -33,6 +33,7 @@
 from turmericrouter_dataplane.policy.log_readers import is_log_reader
 from turmericrouter_dataplane.policy.reachable_hosts import find_reachable
 from turmericrouter_dataplane.policy.retry_budget import RetryBudget
+from turmericrouter_dataplane.policy.target_chooser import has_left
 from turmericrouter_dataplane.policy.target_chooser import HostView
 from turmericrouter_dataplane.policy.target_chooser import TargetChooser
 from turmericrouter_dataplane.policy.watchers import choose_watchers
@@ -102,6 +103,8 @@
         self._lagging_since: dict[str, float] = {}
         self._heartbeat_sent_at = time.monotonic()
         self.is_leaving = False
+        # Called with the record of this host if its target has left.
+        self.on_target_left: Callable[[HostRecord], None] = lambda record: None
         self.on_grant: Callable[[TokenGrant], None] = lambda grant: None
         self._handlers: dict[type, Callable[[Link, Any], None]] = {
             Dispatch: self._handle_dispatch,
@@ -396,7 +399,10 @@
 
     def _handle_introduction(self, link: Link, frame: Introduction) -> None:
         for record in frame.hosts:
-            self.add(record)
+            if record.name != self._record.name:
+                self.add(record)
+            elif has_left(record, self._record):
+                self.on_target_left(record)
 
     def _handle_token_request(self, link: Link, frame: TokenRequest) -> None:
         now = time.monotonic()
@@ -439,6 +445,9 @@
             self._send_introduction(record.name, status.config_version)
         view = self._chooser.update(record)
         self._pool.connect(record.name, record.address)
+        if has_left(view.record, record):
+            # The target has left before the host restarted.
+            link.send(Introduction([view.record]))
         view.is_leaving = status.is_leaving
         view.limit = status.limit
         view.protocol = status.protocol
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/target_chooser.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/target_chooser.py
@@ -5,6 +5,8 @@
 import enum
 import random
 
+import msgspec
+
 from turmericrouter_core.verdict import Reason
 from turmericrouter_dataplane.frames import HostRecord
 
@@ -106,6 +108,24 @@
     load: float = 0.0
 
 
+def has_left(known: HostRecord, received: HostRecord) -> bool:
+    """Return whether a record shows a target as serving that is leaving.
+
+    A target that leaves never serves again under the same start. A host that
+    restarts may have an older record of it.
+
+    Args:
+        known: Record known so far.
+        received: Record of the same host that was received later.
+    """
+    return (
+        known.state == TargetState.LEAVING
+        and received.state != TargetState.LEAVING
+        and known.target_id == received.target_id
+        and known.started_at_ms == received.started_at_ms
+    )
+
+
 class TargetChooser:
     """Chooses among the targets of a service by their load and health.
 
@@ -146,6 +166,10 @@
         if view.record.target_id != record.target_id:
             view.failure_rate = 0.0
             view.avoid_until = -1e9
+        elif has_left(view.record, record):
+            record = msgspec.structs.replace(
+                record, state=int(TargetState.LEAVING)
+            )
         view.record = record
         self._by_service.setdefault(record.service, {})[record.name] = view
         return view
--- a/tests/platform/standin_upstream.py
+++ b/tests/platform/standin_upstream.py
@@ -112,6 +112,11 @@
         self._born = int(time.time() * 1000)
         await self.start()
 
+    def stop_announcing(self) -> None:
+        """Send no further announcements on its own."""
+        if self._task is not None:
+            self._task.cancel()
+
     async def depart(self) -> None:
         """Announce that the upstream is gone."""
         url = f'http://{self._control}/-/instances/{self.upstream_id}'
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -253,6 +253,35 @@
     run_scenario(tmp_path, scenario, ('design', 'works', 'works'))
 
 
+def test_departure_outlives_a_restart_during_a_store_outage(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a left target that an older record brings back.
+
+    The target departs while the store is down, so the store keeps the record
+    of before; then its daemon is killed and reads that record.
+    """
+
+    async def scenario(fleet: Fleet) -> None:
+        entry, leaving = fleet.hosts[0], fleet.hosts[1]
+        leaving.upstream.stop_announcing()
+        fleet.store.fault = Fault.BUSY
+        await leaving.upstream.depart()
+        await asyncio.sleep(0.4)
+        leaving.send_signal(signal.SIGKILL)
+        await leaving.wait_for_exit()
+        fleet.store.fault = Fault.NONE
+        runs = len(leaving.upstream.runs)
+        leaving.launch()
+        await fleet.wait_for_status(leaving, '/read/1')
+        for number in range(10):
+            await fleet.request(entry, f'/open/{number}')
+            await fleet.request(leaving, f'/open/{number}')
+        assert len(leaving.upstream.runs) == runs
+
+    run_scenario(tmp_path, scenario, ('design', 'works', 'works'))
+
+
 def test_stop_cuts_off_no_request(tmp_path: pathlib.Path) -> None:
     """Guards against a planned stop that cuts off requests in flight."""
 
