Grant no tokens without a bucket of the workspace

Cause: a host that restarts owns workspaces in the view of others before it has a configuration, and granted what it was asked for, without a limit. Ruled out: nothing; found by reading for the story of two owners. Before and after: test_owner_without_a_configuration_grants_nothing, 6 tokens before, none now; the asking host uses its fallback bucket. Conclusion: only the owner in its own view, with the limits in force, grants.

--- a/packages/dataplane/src/turmericrouter_dataplane/policy/workspace_quota.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/workspace_quota.py
@@ -200,12 +200,11 @@
             prefetch: Further tokens that the requesting host can use soon.
             now: Monotonic seconds.
         """
-        if workspace not in self._limits:
-            return Grant(1 + prefetch)
         bucket = self._buckets.get(workspace)
         if bucket is None:
-            # The requesting host sees other reachable hosts. Both this host
-            # and the owner in its own view would grant the whole limit.
+            # Either the requesting host sees other reachable hosts, and both
+            # this host and the owner in its own view would grant the whole
+            # limit, or this host has an older configuration, or none yet.
             return Grant(0, is_owner=False)
         bucket.refill(now)
         if bucket.tokens < 1.0:
--- a/tests/dataplane/test_workspace_quota.py
+++ b/tests/dataplane/test_workspace_quota.py
@@ -226,3 +226,15 @@
         assert [follower.owner(n) for n in names] == [
             newcomer.owner(n) for n in names
         ]
+
+
+def test_owner_without_a_configuration_grants_nothing() -> None:
+    """Guards against a host that restarts and knows no limits yet."""
+    quota = WorkspaceQuota(HOSTS[0], random.Random(1))
+    reachable = ReachableHosts(frozenset({HOSTS[0]}), 1.0, len(HOSTS))
+    quota.set_reachable(reachable, 0.0)
+    grant = quota.grant('east', 5, 1.0)
+    assert not grant.tokens
+    assert not grant.is_owner
+    quota.configure((make_workspace(),), 1.0)
+    assert quota.grant('east', 0, 2.0).tokens
