Move the copies of the configuration out of the membership

Ruled out: nothing; the moved code is unchanged but for names. Conclusion: config_sharing.py has one job; heartbeats could follow.

--- a/packages/dataplane/src/turmericrouter_dataplane/members.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/members.py
@@ -4,8 +4,8 @@
 import time
 from typing import Any
 
-from turmericrouter_core.rendezvous import rank_by_hash
 from turmericrouter_dataplane.config_feed import ConfigFeed
+from turmericrouter_dataplane.config_sharing import ConfigSharing
 from turmericrouter_dataplane.decision_log import DecisionLog
 from turmericrouter_dataplane.frames import Cancel
 from turmericrouter_dataplane.frames import ConfigCopy
@@ -49,14 +49,6 @@
 _MAX_HOSTS_AT_BASE_PERIOD = 20
 # A host counts as partitioned after this many periods without a message.
 _SILENCE_TIMEOUT_PERIODS = 2.6
-# A peer with an older configuration is sent the current one after this time;
-# by then it would have read it from the log if it could reach the log. Its
-# bootstrap peers send it first, other hosts only after the longer time.
-_CONFIG_LAG_S = 0.5
-_MAX_CONFIG_LAG_S = 3.0
-# Bootstrap peers of a host in its own failure domain, and in the whole fleet.
-_DOMAIN_BOOTSTRAP_PEERS = 2
-_FLEET_BOOTSTRAP_PEERS = 2
 # A peer whose link is suspect gets no new calls for this time.
 _SUSPECT_PAUSE_S = 0.4
 
@@ -99,8 +91,6 @@
         self._jobs: dict[Link, dict[int, GateJob]] = {}
         self._last_seen_at: dict[str, float] = {}
         self._peer_names: dict[Link, str] = {}
-        # When each lagging host first reported an older configuration.
-        self._lagging_since: dict[str, float] = {}
         self._heartbeat_sent_at = time.monotonic()
         self.is_leaving = False
         # Called with the record of this host if its target has left.
@@ -123,6 +113,13 @@
         self._watched = WatchedHosts(
             _SILENCE_TIMEOUT_PERIODS * HEARTBEAT_PERIOD_S
         )
+        self._sharing = ConfigSharing(
+            record.name,
+            config=config,
+            chooser=chooser,
+            pool=self._pool,
+            watched=self._watched,
+        )
         self._watchers: frozenset[str] = frozenset()
         self._watcher_candidates: frozenset[str] = frozenset()
         self._min_hosts = _ASSUMED_FLEET_SIZE
@@ -192,7 +189,7 @@
             return
         self._chooser.remove(host)
         self._last_seen_at.pop(host, None)
-        self._lagging_since.pop(host, None)
+        self._sharing.forget(host)
         self._watched.forget(host)
         self._pool.remove(host)
         self._update_host_count()
@@ -291,13 +288,7 @@
 
     def copy_config(self) -> None:
         """Send the configuration to the other hosts of the domain."""
-        copy = encode_frame(
-            ConfigCopy(self._config.version, self._config.document)
-        )
-        for link in self._pool.open_links():
-            view = self._chooser.views.get(link.peer)
-            if view is not None and view.record.domain == self._record.domain:
-                link.send_encoded(copy)
+        self._sharing.copy_to_domain()
 
     def broadcast_status(self) -> None:
         """Send the status of this host to all peers."""
@@ -442,7 +433,7 @@
         self._remove_predecessors(record)
         if record.name not in self._chooser.views:
             self.add(record)
-            self._send_introduction(record.name, status.config_version)
+            self._sharing.introduce(record.name, status.config_version)
         view = self._chooser.update(record)
         self._pool.connect(record.name, record.address)
         if has_left(view.record, record):
@@ -477,10 +468,7 @@
         host = view.record.name
         self._last_seen_at[host] = now
         self._pool.reconnect(host)
-        if report.config_version < self._config.version:
-            self._send_config(view.record, report.config_version, now)
-        else:
-            self._lagging_since.pop(host, None)
+        self._sharing.record_version(view.record, report.config_version, now)
 
     def _probe_domain(self, domain: str, now: float) -> None:
         """Probe all links to a domain after one of them has gone silent."""
@@ -489,51 +477,6 @@
             if view is not None and view.record.domain == domain:
                 link.probe(now)
 
-    def _send_introduction(self, host: str, config_version: int) -> None:
-        """Send the known hosts to a peer that has no configuration yet."""
-        if config_version >= 0 or not self._is_bootstrap_peer(host):
-            return
-        link = self._pool.get(host)
-        if link is not None:
-            hosts = [view.record for view in self._chooser.views.values()]
-            link.send(Introduction(hosts))
-
-    def _send_config(
-        self, record: HostRecord, version: int, now: float
-    ) -> None:
-        """Send the configuration to a host that has an older one."""
-        since = self._lagging_since.setdefault(record.name, now)
-        link = self._pool.get(record.name)
-        if link is None or now - self._config.applied_at < _CONFIG_LAG_S:
-            return
-        if now - since < _MAX_CONFIG_LAG_S and not (
-            record.name in self._watched
-            or self._is_bootstrap_peer(record.name)
-        ):
-            return
-        link.send(ConfigCopy(self._config.version, self._config.document))
-        self._send_introduction(record.name, version)
-
-    def _is_bootstrap_peer(self, host: str) -> bool:
-        """Return whether this host is a bootstrap peer of another host.
-
-        All hosts select the same few, so that a starting host does not get
-        the same configuration from every other host.
-        """
-        views = self._chooser.views
-        others = [
-            name
-            for name, view in views.items()
-            if name != host
-            and (view.is_linked or name == self._record.name)
-            and not view.is_leaving
-        ]
-        domain = views[host].record.domain
-        near = [name for name in others if views[name].record.domain == domain]
-        bootstrap_peers = rank_by_hash(host, near)[:_DOMAIN_BOOTSTRAP_PEERS]
-        bootstrap_peers += rank_by_hash(host, others)[:_FLEET_BOOTSTRAP_PEERS]
-        return self._record.name in bootstrap_peers
-
     def _status(self) -> Status:
         gate = self._gate
         return Status(
--- a/tests/dataplane/test_members.py
+++ b/tests/dataplane/test_members.py
@@ -98,7 +98,7 @@
             members, chooser = make_members(name)
             for other in names:
                 chooser.update(make_record(other)).is_linked = True
-            bootstrap_peers += members._is_bootstrap_peer(names[0])
+            bootstrap_peers += members._sharing.is_bootstrap_peer(names[0])
         assert 2 <= bootstrap_peers <= 4
 
     asyncio.run(work())
