Keep a target's departure through the first status of a restart

A daemon that restarts may report itself before it has read its target, and that record without a target replaced what peers knew of the departure, so the older record was believed afterwards. Ruled out: a departure that was not acknowledged or not passed on: all of the 20 requests, of both hosts, went to the target. Conclusion: the departure is remembered beside the record, by id and start.

--- a/packages/dataplane/src/turmericrouter_dataplane/members.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/members.py
@@ -33,9 +33,9 @@
 from turmericrouter_dataplane.policy.log_readers import is_log_reader
 from turmericrouter_dataplane.policy.reachable_hosts import find_reachable
 from turmericrouter_dataplane.policy.retry_budget import RetryBudget
-from turmericrouter_dataplane.policy.target_chooser import has_left
 from turmericrouter_dataplane.policy.target_chooser import HostView
 from turmericrouter_dataplane.policy.target_chooser import TargetChooser
+from turmericrouter_dataplane.policy.target_chooser import TargetState
 from turmericrouter_dataplane.policy.watchers import choose_watchers
 from turmericrouter_dataplane.policy.watchers import WatchedHosts
 from turmericrouter_dataplane.policy.workspace_quota import WorkspaceQuota
@@ -392,7 +392,7 @@
         for record in frame.hosts:
             if record.name != self._record.name:
                 self.add(record)
-            elif has_left(record, self._record):
+            elif record.state == TargetState.LEAVING:
                 self.on_target_left(record)
 
     def _handle_token_request(self, link: Link, frame: TokenRequest) -> None:
@@ -436,7 +436,7 @@
             self._sharing.introduce(record.name, status.config_version)
         view = self._chooser.update(record)
         self._pool.connect(record.name, record.address)
-        if has_left(view.record, record):
+        if view.record.state != record.state:
             # The target has left before the host restarted.
             link.send(Introduction([view.record]))
         view.is_leaving = status.is_leaving
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/target_chooser.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/target_chooser.py
@@ -76,6 +76,23 @@
     failure_rate_at: float = 0.0
     avoid_until: float = -1e9
     next_trial_at: float = -1e9
+    # Id and start of the last target that was reported as leaving.
+    departed_target: tuple[str, int] | None = None
+
+    def with_known_departure(self, record: HostRecord) -> HostRecord:
+        """Return a record whose target is leaving if it is known to be.
+
+        A target that leaves never serves again under the same start, but a
+        host that restarts may have an older record of it, or none at first.
+        """
+        target = (record.target_id, record.started_at_ms)
+        if record.state == TargetState.LEAVING:
+            self.departed_target = target
+        elif target == self.departed_target:
+            return msgspec.structs.replace(
+                record, state=int(TargetState.LEAVING)
+            )
+        return record
 
     def load(self, now: float) -> float:
         """Return the requests at the gate divided by its limit."""
@@ -108,24 +125,6 @@
     load: float = 0.0
 
 
-def has_left(known: HostRecord, received: HostRecord) -> bool:
-    """Return whether a record shows a target as serving that is leaving.
-
-    A target that leaves never serves again under the same start. A host that
-    restarts may have an older record of it.
-
-    Args:
-        known: Record known so far.
-        received: Record of the same host that was received later.
-    """
-    return (
-        known.state == TargetState.LEAVING
-        and received.state != TargetState.LEAVING
-        and known.target_id == received.target_id
-        and known.started_at_ms == received.started_at_ms
-    )
-
-
 class TargetChooser:
     """Chooses among the targets of a service by their load and health.
 
@@ -166,11 +165,7 @@
         if view.record.target_id != record.target_id:
             view.failure_rate = 0.0
             view.avoid_until = -1e9
-        elif has_left(view.record, record):
-            record = msgspec.structs.replace(
-                record, state=int(TargetState.LEAVING)
-            )
-        view.record = record
+        view.record = view.with_known_departure(record)
         self._by_service.setdefault(record.service, {})[record.name] = view
         return view
 
--- a/tests/dataplane/test_target_chooser.py
+++ b/tests/dataplane/test_target_chooser.py
@@ -2,9 +2,13 @@
 
 import random
 
+import msgspec
+
 from dataplane_values import make_record
 from turmericrouter_core.verdict import Reason
+from turmericrouter_dataplane.frames import HostRecord
 from turmericrouter_dataplane.policy.target_chooser import TargetChooser
+from turmericrouter_dataplane.policy.target_chooser import TargetState
 
 
 def make_chooser(*domains: str) -> TargetChooser:
@@ -86,3 +90,22 @@
         )
     )
     assert choose(chooser, now=0.1) == 'h0'
+
+
+def test_target_that_has_left_stays_so_through_a_restart_of_its_host() -> None:
+    """Guards against a first status without a target, which hid its leaving.
+
+    A host that restarts reports no target, and then an older record of it.
+    """
+    chooser = make_chooser()
+    serving = HostRecord(
+        'far', '127.0.0.1:9', 'north', 'design', 't-1', 10,
+        int(TargetState.SERVING), 5,
+    )  # fmt: skip
+    leaving = msgspec.structs.replace(serving, state=int(TargetState.LEAVING))
+    for record in (serving, leaving, make_record('far'), serving):
+        view = chooser.update(record)
+    assert view.record.state == TargetState.LEAVING
+    # Another start of the target serves.
+    restarted = msgspec.structs.replace(serving, started_at_ms=6)
+    assert chooser.update(restarted).record.state == TargetState.SERVING
