Check the size of a head after it has been parsed

Cause: found in the last read of the change: received data counted against the limit for heads before it was parsed, so an answer above 256 KB whose head came in two parts was refused. Ruled out: a higher limit, which only moves the size. Before and after: test_large_answer_whose_head_arrives_in_two_parts_is_read fails before, passes now; the 11 kinds of endless answers stay bounded. Conclusion: one read of the socket may exceed the limit for heads before the answer fails.

--- a/packages/dataplane/src/turmericrouter_dataplane/http_client.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/http_client.py
@@ -195,6 +195,8 @@
             self._must_close = True
             if self._answer is None:
                 self._fail(Failure.INVALID)
+        if self._is_head_too_large():
+            self._fail(Failure.INVALID)
         self._deliver()
 
     def eof_received(self) -> bool:
@@ -320,9 +322,16 @@
         """Count received data; return whether the answer may go on."""
         self._received_bytes += size
         is_within_budget = self._budget.take(size)
+        return is_within_budget and self._received_bytes <= MAX_ANSWER_BYTES
+
+    def _is_head_too_large(self) -> bool:
+        """Return whether all received data has brought no whole head."""
         is_in_head = not (self._in_message and self._headers_done)
-        limit = MAX_HEAD_BYTES if is_in_head else MAX_ANSWER_BYTES
-        return is_within_budget and self._received_bytes <= limit
+        return (
+            is_in_head
+            and self._answer is None
+            and self._received_bytes > MAX_HEAD_BYTES
+        )
 
     def _release_memory(self) -> None:
         """Drop what was received of an answer."""
--- a/tests/dataplane/test_http_client.py
+++ b/tests/dataplane/test_http_client.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 import socket
 import struct
+from typing import Any
+from unittest import mock
 
 import pytest
 
@@ -183,3 +185,24 @@
     )
     parts = head, b'3\r\nabc\r\n', b'2\r\nde\r\n0\r\n\r\n'
     assert asyncio.run(expect_body(b'abcde', *parts))
+
+
+def test_large_answer_whose_head_arrives_in_two_parts_is_read() -> None:
+    """Guards against a limit on heads that counts the body beside it."""
+
+    async def work() -> None:
+        results: list[Result] = []
+        connection = HttpClientConnection(lambda _: None, id_header=b'x-id')
+        transport: Any = mock.Mock()
+        transport.is_closing.return_value = False
+        transport.get_write_buffer_size.return_value = 0
+        connection.connection_made(transport)
+        connection.send(REQUEST, results.append, expected_id=b'own')
+        body = bytes(http_client.MAX_HEAD_BYTES)
+        data = answer(b'own', body)
+        connection.data_received(data[:5])
+        connection.data_received(data[5:])
+        assert isinstance(results[0], HttpResponse)
+        assert results[0].body == body
+
+    asyncio.run(work())
