Share the announcement that two tests decode

Cause: test_decoders repeated the document and the request of test_announcement. Ruled out: the documents of settings and configuration, which differ. Before and after: both files pass, with the same assertions. Conclusion: one copy, in platform_documents.

--- a/tests/platform/test_announcement.py
+++ b/tests/platform/test_announcement.py
@@ -5,40 +5,20 @@
 
 import pytest
 
+from platform_documents import ANNOUNCEMENT
+from platform_documents import make_announcement_request
 from turmericrouter_dataplane.announcements import InvalidAnnouncement
 from turmericrouter_dataplane.announcements import TargetDeparture
-from turmericrouter_dataplane.http_server import HttpRequest
 from turmericrouter_dataplane.local_target import LocalTarget
 from turmericrouter_dataplane.policy.target_chooser import TargetState
 from turmericrouter_platform.announcement import decode_announcement
 
-ANNOUNCEMENT: dict[str, Any] = {
-    'service': 'design',
-    'address': '10.0.0.1:8080',
-    'zone': 'north',
-    'version': 'v1',
-    'slots': 130,
-    'state': 'ready',
-    'cold_remaining_s': 0,
-    'sequence': 4,
-    'born': 1700000000000,
-}
-
 
 def decode(
     body: Any, method: bytes = b'PUT', path: bytes = b'/-/instances/i-1'
 ) -> LocalTarget | TargetDeparture | InvalidAnnouncement:
     raw = body if isinstance(body, bytes) else json.dumps(body).encode()
-    request = HttpRequest(
-        None,  # type: ignore[arg-type]
-        method,
-        path,
-        [],
-        raw,
-        has_body=True,
-        close=False,
-    )
-    return decode_announcement(request)
+    return decode_announcement(make_announcement_request(raw, method, path))
 
 
 def test_announcement_becomes_a_local_target() -> None:
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -14,6 +14,8 @@
 import msgspec
 import pytest
 
+from platform_documents import ANNOUNCEMENT
+from platform_documents import make_announcement_request
 from turmericrouter_core.errors import ConfigError
 from turmericrouter_core.errors import LogServiceError
 from turmericrouter_core.errors import ProtocolError
@@ -21,7 +23,6 @@
 from turmericrouter_core.verdict import Reason
 from turmericrouter_core.verdict import Verdict
 from turmericrouter_dataplane import frames
-from turmericrouter_dataplane.http_server import HttpRequest
 from turmericrouter_platform import node_file
 from turmericrouter_platform.announcement import decode_announcement
 from turmericrouter_platform.configuration import decode_config
@@ -37,17 +38,6 @@
     st.lists(st.integers(0, 9), max_size=3),
     st.dictionaries(st.text(max_size=3), st.integers(0, 9), max_size=2),
 )
-ANNOUNCEMENT: dict[str, Any] = {
-    'service': 'design',
-    'address': '10.0.0.1:8080',
-    'zone': 'north',
-    'version': 'v1',
-    'slots': 130,
-    'state': 'ready',
-    'cold_remaining_s': 0,
-    'sequence': 4,
-    'born': 1700000000000,
-}
 CONFIG: dict[str, Any] = {
     'version': 7,
     'routes': {
@@ -118,16 +108,7 @@
 
 
 def _announce(body: bytes) -> None:
-    request = HttpRequest(
-        None,  # type: ignore[arg-type]
-        b'PUT',
-        b'/-/instances/i-1',
-        [],
-        body,
-        has_body=True,
-        close=False,
-    )
-    decode_announcement(request)
+    decode_announcement(make_announcement_request(body))
 
 
 def _configure(document: bytes) -> None:
