Answer pipelined requests that were read before a stop

Cause: while the host leaves, each answer closed its connection, and the requests behind it that had been read were dropped. Their callers saw a closed connection.

Ruled out: requests after one that says Connection: close; they are owed no answer.

Before and after: test_stop_answers_each_request_that_was_read failed with "IndexError: list index out of range" at the second request, which never reached the handler; it passes now.

Conclusion: only the last answer of a leaving host closes a connection; the dispatcher serves or refuses the requests before it.

--- a/packages/dataplane/src/turmericrouter_dataplane/http_server.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/http_server.py
@@ -232,8 +232,8 @@
         """
         if self._current is not request or self._transport is None:
             return False
-        is_last = self._failed and not self._pipelined
-        close = request.close or self._server.is_leaving or is_last
+        is_ending = self._server.is_leaving or self._failed
+        close = request.close or (is_ending and not self._pipelined)
         self._transport.write(
             b'%bContent-Length: %d\r\n%b\r\n%b'
             % (head, len(body), b'Connection: close\r\n' if close else b'',
--- a/tests/dataplane/test_http_server.py
+++ b/tests/dataplane/test_http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import re
 
 from turmericrouter_dataplane.fleet_config import CallerLimits
 from turmericrouter_dataplane.http_server import HttpRequest
@@ -83,6 +84,23 @@
     play(scenario)
 
 
+def test_stop_answers_each_request_that_was_read() -> None:
+    """Guards against pipelined requests that a stop drops."""
+
+    async def scenario(fixture: _Fixture) -> None:
+        await fixture.send(_GET % 1 + _GET % 2 + _GET % 3)
+        fixture.server.is_leaving = True
+        for number in range(3):
+            fixture.handler.answer(fixture.handler.requests[number])
+        received = await fixture.reader.read()
+        targets = re.findall(rb'X-Target: /(.)', received)
+        assert targets == [b'1', b'2', b'3']
+        assert received.count(b'Connection: close') == 1
+        assert b'Connection: close' in received.split(b'X-Target: /3')[1]
+
+    play(scenario)
+
+
 def test_body_that_stops_midway_is_refused() -> None:
     """Guards against connections that hold a part of a body for ever."""
 
