Read on after the last answer of a connection

Cause: the server closed a connection as soon as its last answer was written. Bytes that the caller was still sending (the rest of a refused body, a request that crossed the answer of a stop) turned the close into a reset, which may destroy the answer before the caller has read it.

Closing idle connections stays a plain close: a request that crosses it was not read.

Before and after: on the code before, test_last_answer_is_read_by_a_caller_that_is_still_sending failed with "ConnectionResetError: [Errno 104] Connection reset by peer", and test_refusal_is_read_by_a_caller_that_is_still_sending with "RuntimeError: unable to perform operation on <TCPTransport closed=True", the caller's transport after the reset. They pass now, as do the three tests of the bounds, on the loops of uvloop and asyncio; test_stop.py passes.

Conclusion: after its last answer a connection sends the end of the stream and discards what comes until the caller closes, for 1 s to 2 s, 8 MiB and 256 connections a server at most. No request that arrives then is passed on.

--- a/packages/dataplane/src/turmericrouter_dataplane/application.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/application.py
@@ -179,6 +179,13 @@
                 self._log,
             )
         )
+        self._metrics_server = HttpServer(MetricsHandler(self.render_metrics))
+        self._http_servers = (
+            self._callers,
+            self._ready,
+            self._control,
+            self._metrics_server,
+        )
         self._links = LinkServer(self._members)
         self._drain = Drain(
             callers=self._callers,
@@ -277,8 +284,9 @@
         await self._control.start(settings.control.ip, settings.control.port)
         await self._ready.start(settings.ready.ip, settings.ready.port)
         if settings.metrics != settings.ready:
-            metrics = HttpServer(MetricsHandler(self.render_metrics))
-            await metrics.start(settings.metrics.ip, settings.metrics.port)
+            await self._metrics_server.start(
+                settings.metrics.ip, settings.metrics.port
+            )
         self._start_timers()
         self._tasks = [
             asyncio.create_task(supervise(name, work, self._log))
@@ -401,6 +409,8 @@
         idle_s = self._callers.limits.idle_timeout_s + _IDLE_CLOSE_MARGIN_S
         self._callers.close_idle(idle_s)
         self._callers.close_slow()
+        for server in self._http_servers:
+            server.close_lingering()
         self._gate.prune()
 
     def _handle_stop_signal(self, name: str) -> None:
--- a/packages/dataplane/src/turmericrouter_dataplane/http_server.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/http_server.py
@@ -33,6 +33,15 @@
 )
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 _MAX_PIPELINED_REQUESTS = 64
+# Closing a socket with unread bytes resets the connection, which may destroy
+# the last answer before the caller has read it. A connection therefore reads
+# on for this time after it has sent its last answer, or until the caller
+# closes it.
+_LINGER_S = 1.0
+# More bytes of one caller, or more connections of one server, are not waited
+# for.
+_MAX_DISCARDED_BYTES = 8 * 1024 * 1024
+_MAX_LINGERING_CONNECTIONS = 256
 
 Headers = list[tuple[bytes, bytes, bytes]]
 
@@ -110,7 +119,9 @@
         self._has_body = False
         self._pipelined: list[HttpRequest] = []
         self._current: HttpRequest | None = None
-        self._failed = False
+        # Whether what the caller sends from now on is discarded.
+        self._is_input_ended = False
+        self._discarded_bytes = 0
         self._expects_continue = False
         self.is_reading_body = False
         self.last_active = time.monotonic()
@@ -119,14 +130,26 @@
 
     @property
     def is_idle(self) -> bool:
-        """Return whether no request is being read or served."""
-        return self._current is None and not self._target
+        """Return whether requests are awaited, and none is read or served."""
+        return (
+            self._current is None
+            and not self._target
+            and not self._is_input_ended
+        )
 
     @property
     def is_open(self) -> bool:
         """Return whether the caller is still connected."""
         return self._transport is not None
 
+    @property
+    def has_unsent_data(self) -> bool:
+        """Return whether a part of an answer waits for the caller to read."""
+        return (
+            self._transport is not None
+            and self._transport.get_write_buffer_size() > 0
+        )
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Add the connection to the server."""
         self._transport = cast(asyncio.Transport, transport)
@@ -136,6 +159,7 @@
         """Abandon the current request and drop the pipelined ones."""
         self._transport = None
         self._server.connections.discard(self)
+        self._server.lingering.pop(self, None)
         current, self._current = self._current, None
         self._pipelined.clear()
         if current is not None:
@@ -148,7 +172,8 @@
     def data_received(self, data: bytes) -> None:
         """Parse received data."""
         self.last_active = time.monotonic()
-        if self._failed:
+        if self._is_input_ended:
+            self._discard(len(data))
             return
         try:
             self._parser.feed_data(data)
@@ -159,6 +184,8 @@
 
     def on_message_begin(self) -> None:
         """Reset the state of the parsed request."""
+        if self._is_input_ended:
+            return
         self._headers = []
         self._body = []
         self._received_bytes = 0
@@ -184,6 +211,8 @@
 
     def on_headers_complete(self) -> None:
         """Begin to read the body."""
+        if self._is_input_ended:
+            return
         self._received_bytes = 0
         self.head_started_at = math.inf
         self.is_reading_body = True
@@ -192,13 +221,15 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
+        if self._is_input_ended:
+            return
         self._body.append(body)
         self._count_bytes(len(body), 413)
 
     def on_message_complete(self) -> None:
         """Handle the request, or queue it until earlier ones are answered."""
         self.is_reading_body = False
-        if self._failed:
+        if self._is_input_ended:
             return
         request = HttpRequest(
             self,
@@ -232,7 +263,7 @@
         """
         if self._current is not request or self._transport is None:
             return False
-        is_ending = self._server.is_leaving or self._failed
+        is_ending = self._server.is_leaving or self._is_input_ended
         close = request.close or (is_ending and not self._pipelined)
         self._transport.write(
             b'%bContent-Length: %d\r\n%b\r\n%b'
@@ -241,7 +272,7 @@
         )  # fmt: skip
         self._current = None
         if close:
-            self._transport.close()
+            self._linger()
         elif self._pipelined:
             self._current = self._pipelined.pop(0)
             self._handler.handle(self._current)
@@ -252,10 +283,9 @@
 
         Earlier requests are answered first; the status is then not sent.
         """
-        self._failed = True
-        self.head_started_at = math.inf
-        self.is_reading_body = False
-        self._body = []
+        if self._is_input_ended:
+            return
+        self._end_input()
         self._server.on_bad_request(status)
         if self._transport is None or self._current is not None:
             return
@@ -263,20 +293,51 @@
             b'%bContent-Length: 0\r\nConnection: close\r\n\r\n'
             % status_line(status)
         )
-        self._transport.close()
+        self._linger()
 
     def close(self) -> None:
         """Close the connection once all written data is sent."""
         if self._transport is not None:
             self._transport.close()
 
+    def _end_input(self) -> None:
+        self._is_input_ended = True
+        self.head_started_at = math.inf
+        self.is_reading_body = False
+        self._headers = []
+        self._body = []
+
+    def _linger(self) -> None:
+        """Send the end of the stream, and close once the caller has.
+
+        `HttpServer.close_lingering` bounds the wait for the caller.
+        """
+        transport = self._transport
+        assert transport is not None
+        self._end_input()
+        self._pipelined.clear()
+        if transport.is_closing():
+            return
+        try:
+            transport.write_eof()
+        except (OSError, RuntimeError):
+            # The caller is gone.
+            transport.close()
+            return
+        self._server.add_lingering(self)
+
+    def _discard(self, size: int) -> None:
+        self._discarded_bytes += size
+        if self._discarded_bytes > _MAX_DISCARDED_BYTES:
+            self._server.end_lingering(self)
+
     def _count_bytes(self, size: int, status: int) -> None:
         self._received_bytes += size
         limits = self._server.limits
         limit = (
             limits.max_header_bytes if status == 431 else limits.max_body_bytes
         )
-        if self._received_bytes > limit and not self._failed:
+        if self._received_bytes > limit:
             self.fail(status)
 
 
@@ -297,6 +358,9 @@
         self.on_bad_request = on_bad_request
         self.limits = CallerLimits()
         self.connections: set[HttpServerConnection] = set()
+        # Connections whose last answer has been written, and the time since
+        # which they wait for the caller to close; the oldest comes first.
+        self.lingering: dict[HttpServerConnection, float] = {}
         self.is_leaving = False
         self._server: asyncio.Server | None = None
 
@@ -329,6 +393,29 @@
             ):
                 connection.fail(408)
 
+    def add_lingering(self, connection: HttpServerConnection) -> None:
+        """Wait for the caller of a connection to close it."""
+        if len(self.lingering) >= _MAX_LINGERING_CONNECTIONS:
+            self.end_lingering(next(iter(self.lingering)))
+        self.lingering[connection] = time.monotonic()
+
+    def end_lingering(self, connection: HttpServerConnection) -> None:
+        """Close a connection if it waits for its caller to close it."""
+        if self.lingering.pop(connection, None) is not None:
+            connection.close()
+
+    def close_lingering(self) -> None:
+        """Close connections whose callers have had time to read and close.
+
+        The time runs from when the answer has left the process.
+        """
+        now = time.monotonic()
+        for connection, since in list(self.lingering.items()):
+            if connection.has_unsent_data:
+                self.lingering[connection] = now
+            elif since < now - _LINGER_S:
+                self.end_lingering(connection)
+
     def stop_listening(self) -> None:
         """Close the listener; open connections stay in service."""
         if self._server is not None:
--- a/tests/dataplane/test_http_server.py
+++ b/tests/dataplane/test_http_server.py
@@ -5,6 +5,10 @@
 from collections.abc import Callable
 import re
 
+import pytest
+import uvloop
+
+from turmericrouter_dataplane import http_server
 from turmericrouter_dataplane.fleet_config import CallerLimits
 from turmericrouter_dataplane.http_server import HttpRequest
 from turmericrouter_dataplane.http_server import HttpServer
@@ -53,6 +57,8 @@
 
 
 def play(scenario: Callable[[_Fixture], Awaitable[None]]) -> None:
+    """Run a scenario on the loop of the daemon and on that of asyncio."""
+
     async def work() -> None:
         handler = _Handler()
         server = HttpServer(handler)
@@ -65,7 +71,9 @@
         writer.close()
         server.stop_listening()
 
-    asyncio.run(work())
+    for loop_factory in (uvloop.new_event_loop, None):
+        with asyncio.Runner(loop_factory=loop_factory) as runner:
+            runner.run(work())
 
 
 def test_malformed_pipelined_request_leaves_the_ones_before_it() -> None:
@@ -159,3 +167,87 @@
         assert line.startswith(b'HTTP/1.1 100 ')
 
     play(scenario)
+
+
+def test_refusal_is_read_by_a_caller_that_is_still_sending() -> None:
+    """Guards against a reset that destroys the answer to a large body."""
+
+    async def scenario(fixture: _Fixture) -> None:
+        fixture.server.limits = CallerLimits(max_body_bytes=5)
+        await fixture.send(_POST + b'\r\n012345')
+        for _ in range(10):
+            await fixture.send(b'6')
+        received = await fixture.reader.read()
+        assert received.startswith(b'HTTP/1.1 413 ')
+        assert received.count(b'HTTP/1.1 ') == 1
+
+    play(scenario)
+
+
+def test_last_answer_is_read_by_a_caller_that_is_still_sending() -> None:
+    """Guards against a reset that destroys the last answer of a stop."""
+
+    async def scenario(fixture: _Fixture) -> None:
+        await fixture.send(_GET % 1)
+        fixture.server.is_leaving = True
+        request = fixture.handler.requests[0]
+        head = b'HTTP/1.1 200 OK\r\n'
+        request.connection.respond(request, head, b'x' * 8_000_000)
+        await fixture.send(_GET % 2)
+        await fixture.send(_GET % 3)
+        received = await fixture.reader.read()
+        assert received.endswith(b'x' * 8_000_000)
+        assert len(fixture.handler.requests) == 1, 'a late request was taken'
+
+    play(scenario)
+
+
+def test_callers_that_never_close_are_not_waited_for_long(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against closed connections that callers keep for ever."""
+    monkeypatch.setattr(http_server, '_LINGER_S', 0.1)
+
+    async def scenario(fixture: _Fixture) -> None:
+        await fixture.send(_GET % 1)
+        fixture.server.is_leaving = True
+        fixture.handler.answer(fixture.handler.requests[0])
+        fixture.server.close_idle(0.0)
+        fixture.server.close_lingering()
+        await asyncio.sleep(0.15)
+        assert fixture.server.connections, 'closed before the caller'
+        fixture.server.close_lingering()
+        await asyncio.sleep(0.05)
+        assert not fixture.server.connections
+        assert not fixture.server.lingering
+
+    play(scenario)
+
+
+@pytest.mark.parametrize(
+    'name', ['_MAX_DISCARDED_BYTES', '_MAX_LINGERING_CONNECTIONS']
+)
+def test_bytes_and_number_of_closed_connections_are_bounded(
+    name: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against callers that make the server read without end."""
+    monkeypatch.setattr(http_server, name, 1)
+
+    async def scenario(fixture: _Fixture) -> None:
+        await fixture.send(b'\x00 nonsense\r\n\r\n')
+        first = next(iter(fixture.server.connections))
+        assert first.is_open
+        assert fixture.server.lingering
+        if name == '_MAX_DISCARDED_BYTES':
+            await fixture.send(b'12')
+        else:
+            port = fixture.writer.get_extra_info('peername')[1]
+            _, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.write(b'\x00 nonsense\r\n\r\n')
+            await asyncio.sleep(0.05)
+            writer.close()
+        await asyncio.sleep(0.05)
+        assert not first.is_open
+        assert first not in fixture.server.lingering
+
+    play(scenario)
