Answer the requests before too many pipelined ones

Cause: one pipelined request more than the limit closed the connection at once. The request being served, and all that waited behind it, were abandoned without an answer.

Ruled out: pausing the transport at the limit; what it has already read would still have to be held.

Before and after: test_requests_before_too_many_pipelined_ones_are_answered failed with "assert not [<...HttpRequest object>]" on the abandoned requests; it passes now.

Conclusion: the limit ends the input of the connection.

--- a/packages/dataplane/src/turmericrouter_dataplane/http_server.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/http_server.py
@@ -242,9 +242,11 @@
         )
         self._target = b''
         if self._current is not None:
-            self._pipelined.append(request)
-            if len(self._pipelined) > _MAX_PIPELINED_REQUESTS:
-                self.close()
+            if len(self._pipelined) < _MAX_PIPELINED_REQUESTS:
+                self._pipelined.append(request)
+            else:
+                # The connection closes once those before it are answered.
+                self._end_input()
             return
         self._current = request
         self._handler.handle(request)
--- a/tests/dataplane/test_http_server.py
+++ b/tests/dataplane/test_http_server.py
@@ -109,6 +109,25 @@
     play(scenario)
 
 
+def test_requests_before_too_many_pipelined_ones_are_answered() -> None:
+    """Guards against a limit of pipelined requests that ends earlier ones."""
+
+    async def scenario(fixture: _Fixture) -> None:
+        await fixture.send(b''.join(_GET % number for number in range(100)))
+        await fixture.send(b''.join(_GET % number for number in range(100)))
+        assert not fixture.handler.abandoned
+        taken = 1 + http_server._MAX_PIPELINED_REQUESTS
+        for number in range(taken):
+            fixture.handler.answer(fixture.handler.requests[number])
+        received = await fixture.reader.read()
+        targets = re.findall(rb'X-Target: /(\d+)', received)
+        assert targets == [b'%d' % number for number in range(taken)]
+        assert received.count(b'Connection: close') == 1
+        assert len(fixture.handler.requests) == taken
+
+    play(scenario)
+
+
 def test_body_that_stops_midway_is_refused() -> None:
     """Guards against connections that hold a part of a body for ever."""
 
