Send written answers before the process ends

Cause: a stop ended once nothing was in flight, though complete answers could still be in the buffers of its connections. Slow callers got the first part of an answer; a request that they had sent meanwhile turned the end into a reset.

Links that this host opened carry no outcomes.

Conclusion: the stop waits until callers and peers have read what was written, and until 0.4 s before the process is killed at most. What the kernel holds when the process ends is left to the kernel.

--- a/packages/dataplane/src/turmericrouter_dataplane/application.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/application.py
@@ -190,6 +190,7 @@
         self._drain = Drain(
             callers=self._callers,
             peers=self._members,
+            links=self._links,
             dispatcher=self._dispatcher,
             gate=self._gate,
             timers=self._timers,
--- a/packages/dataplane/src/turmericrouter_dataplane/drain.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/drain.py
@@ -17,6 +17,8 @@
 _LINGER_S = 0.1
 # Time kept for closing connections before the process is killed.
 _CLOSE_MARGIN_S = 1.0
+# The part of that time that is kept when callers and peers read slowly.
+_SEND_MARGIN_S = 0.4
 
 
 class Peers(Protocol):
@@ -26,12 +28,21 @@
         """Tell all peers that this host leaves."""
 
 
+class Links(Protocol):
+    """The links that peers have opened."""
+
+    @property
+    def has_unsent_data(self) -> bool:
+        """Return whether outcomes wait for the peers to read."""
+
+
 class Drain:
     """Stops the request path in steps; see `run`.
 
     Args:
         callers: Server of the callers.
         peers: Other hosts.
+        links: Links on which peers get their outcomes.
         dispatcher: Serves the callers.
         gate: Serves the peers.
         timers: Timer service.
@@ -43,6 +54,7 @@
         *,
         callers: HttpServer,
         peers: Peers,
+        links: Links,
         dispatcher: Dispatcher,
         gate: Gate,
         timers: TimerService,
@@ -50,6 +62,7 @@
     ) -> None:
         self._callers = callers
         self._peers = peers
+        self._links = links
         self._dispatcher = dispatcher
         self._gate = gate
         self._timers = timers
@@ -88,6 +101,7 @@
         self._callers.stop_listening()
         self._callers.close_idle(0.0)
         await asyncio.sleep(_LINGER_S)
+        await self._send_answers(started_at + stop_within_s - _SEND_MARGIN_S)
         self._callers.close_idle(0.0)
         self._log.event(
             'stopped',
@@ -95,5 +109,14 @@
             in_flight=self._dispatcher.in_flight,
         )
 
+    async def _send_answers(self, until_s: float) -> None:
+        """Wait until callers and peers have read what was written."""
+        while self._timers.now() < until_s:
+            if not (
+                self._callers.has_unread_answers or self._links.has_unsent_data
+            ):
+                break
+            await asyncio.sleep(_IDLE_CHECK_PERIOD_S)
+
     async def _sleep_until(self, time_s: float) -> None:
         await asyncio.sleep(max(0.0, time_s - self._timers.now()))
--- a/packages/dataplane/src/turmericrouter_dataplane/http_server.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/http_server.py
@@ -366,6 +366,13 @@
         self.is_leaving = False
         self._server: asyncio.Server | None = None
 
+    @property
+    def has_unread_answers(self) -> bool:
+        """Return whether callers may still have to read their answers."""
+        return bool(self.lingering) or any(
+            connection.has_unsent_data for connection in self.connections
+        )
+
     async def start(self, ip: str, port: int) -> None:
         """Open the listener."""
         self._server = await asyncio.get_running_loop().create_server(
@@ -380,7 +387,11 @@
         """Close connections that were idle for longer than `idle_s`."""
         cutoff = time.monotonic() - idle_s
         for connection in list(self.connections):
-            if connection.is_idle and connection.last_active < cutoff:
+            if (
+                connection.is_idle
+                and connection.last_active < cutoff
+                and not connection.has_unsent_data
+            ):
                 connection.close()
 
     def close_slow(self) -> None:
--- a/packages/dataplane/src/turmericrouter_dataplane/links.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/links.py
@@ -72,6 +72,14 @@
         """Return whether frames can be sent."""
         return self._transport is not None
 
+    @property
+    def has_unsent_data(self) -> bool:
+        """Return whether frames wait for the peer to read."""
+        return (
+            self._transport is not None
+            and self._transport.get_write_buffer_size() > 0
+        )
+
     def is_suspect(self, now: float) -> bool:
         """Return whether a probe has had no reply for `SUSPECT_AFTER_S`."""
         return bool(self._probed_at) and (
@@ -297,15 +305,27 @@
 
     def __init__(self, handler: FrameHandler) -> None:
         self._handler = handler
+        self._links: set[Link] = set()
         self._server: asyncio.Server | None = None
 
+    @property
+    def has_unsent_data(self) -> bool:
+        """Return whether outcomes wait for the peers to read."""
+        return any(link.has_unsent_data for link in self._links)
+
     async def start(self, ip: str, port: int) -> None:
         """Open the listener."""
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: Link(self._handler), ip, port, reuse_address=True
+            self._make_link, ip, port, reuse_address=True
         )
 
     def stop(self) -> None:
         """Close the listener."""
         if self._server is not None:
             self._server.close()
+
+    def _make_link(self) -> Link:
+        link = Link(self._handler)
+        self._links.add(link)
+        link.closed.add_done_callback(lambda _: self._links.discard(link))
+        return link
--- /dev/null
+++ b/tests/dataplane/test_drain_slow_readers.py
@@ -0,0 +1,77 @@
+"""Guards against a stop that ends before its answers have been sent."""
+
+import asyncio
+import time
+import types
+from typing import Any
+
+import pytest
+
+from turmericrouter_dataplane import drain as drain_module
+from turmericrouter_dataplane.decision_log import DecisionLog
+from turmericrouter_dataplane.drain import Drain
+from turmericrouter_dataplane.http_server import HttpServer
+from turmericrouter_dataplane.timers import TimerService
+
+_STOP_WITHIN_S = 1.5
+_SEND_MARGIN_S = drain_module._SEND_MARGIN_S
+
+
+class _SlowReaders:
+    """Callers or peers that have read everything after a time."""
+
+    def __init__(self, read_after_s: float) -> None:
+        self._read_at = time.monotonic() + read_after_s
+
+    @property
+    def has_unsent_data(self) -> bool:
+        return time.monotonic() < self._read_at
+
+    has_unread_answers = has_unsent_data
+
+
+def _stop(*, callers_s: float = 0.0, peers_s: float = 0.0) -> float:
+    """Return the seconds that a stop without work takes."""
+
+    async def work() -> float:
+        timers = TimerService(lambda name, error: None)
+        slow_callers = _SlowReaders(callers_s)
+
+        class _Callers(HttpServer):
+            @property
+            def has_unread_answers(self) -> bool:
+                return slow_callers.has_unread_answers
+
+        idle: Any = types.SimpleNamespace(in_flight=0, is_idle=True)
+        drain = Drain(
+            callers=_Callers(idle),
+            peers=types.SimpleNamespace(leave=lambda: None),
+            links=_SlowReaders(peers_s),
+            dispatcher=idle,
+            gate=idle,
+            timers=timers,
+            log=DecisionLog('host'),
+        )
+        started_at = time.monotonic()
+        await drain.run('SIGTERM', _STOP_WITHIN_S)
+        timers.stop()
+        return time.monotonic() - started_at
+
+    return asyncio.run(work())
+
+
+def test_stop_waits_until_peers_have_read_their_outcomes() -> None:
+    """Guards against outcomes that end with the process."""
+    assert _stop(peers_s=0.9) > 0.9
+
+
+def test_stop_waits_until_callers_have_read_their_answers() -> None:
+    """Guards against answers that end with the process."""
+    assert _stop(callers_s=0.9) > 0.9
+
+
+@pytest.mark.parametrize('reader', ['callers_s', 'peers_s'])
+def test_stop_does_not_wait_for_readers_beyond_its_time(reader: str) -> None:
+    """Guards against a reader that makes the platform kill the process."""
+    limit_s = _STOP_WITHIN_S - _SEND_MARGIN_S / 2
+    assert _stop(**{reader: 10.0}) < limit_s
--- a/tests/dataplane/test_links.py
+++ b/tests/dataplane/test_links.py
@@ -178,3 +178,36 @@
         pool.stop()
 
     asyncio.run(work())
+
+
+def test_outcomes_that_a_peer_has_not_read_are_known() -> None:
+    """Guards against a stop that ends with outcomes in its buffers."""
+
+    async def work() -> None:
+        server_side = Recorder(answers=False)
+        server = LinkServer(server_side)
+        await server.start('127.0.0.1', 0)
+        assert server._server is not None
+        port = server._server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', port, limit=1000
+        )
+        async with asyncio.timeout(5.0):
+            await server_side.opened.wait()
+            assert not server.has_unsent_data
+            (link,) = server._links
+            answer = bytes(16_000_000)
+            link.send(Outcome(1, Verdict.RAN, Reason.SERVED, 200, b'', answer))
+            await asyncio.sleep(0.1)
+            assert server.has_unsent_data
+            received = 0
+            while received < len(answer):
+                received += len(await reader.read(1_000_000))
+            while server.has_unsent_data:
+                await asyncio.sleep(0.01)
+            writer.close()
+            while server._links:
+                await asyncio.sleep(0.01)
+        server.stop()
+
+    asyncio.run(work())
--- a/tests/platform/standin_upstream.py
+++ b/tests/platform/standin_upstream.py
@@ -74,6 +74,8 @@
         # Requests whose connection ended before their answer.
         self.cancelled_count = 0
         self.work_s = 0.0
+        # Length of the bodies of answers beyond their text.
+        self.padding_bytes = 0
         self.slots = 20
         self.state = 'ready'
         self.is_shedding = False
@@ -233,7 +235,9 @@
     def _make_answer(self, request_id: str, status: int = 200) -> web.Response:
         return web.Response(
             status=status,
-            body=b'answer to ' + request_id.encode(),
+            body=b'answer to '
+            + request_id.encode()
+            + bytes(self.padding_bytes),
             headers={
                 'X-Request-Id': request_id,
                 'X-Server-Signature': f'{self.upstream_id}.{request_id}',
--- /dev/null
+++ b/tests/platform/test_stop_slow_callers.py
@@ -0,0 +1,125 @@
+"""A planned stop sends complete answers to callers that read slowly."""
+
+import asyncio
+import contextlib
+import pathlib
+import signal
+import socket
+
+from platform_fleet import Fleet
+from platform_fleet import Host
+from platform_fleet import KEY
+from platform_fleet import run_fleet
+
+# More than the buffers of the system take from a process.
+_BODY_BYTES = 8_000_000
+_RECEIVE_BUFFER_BYTES = 32_768
+# Settings of the fleet: the process is killed this long after SIGTERM.
+_GRACE_S = 6.0
+# Without work a daemon ends its stop about this long after SIGTERM.
+_END_OF_NOTICE_S = 2.6
+
+
+def _make_request(request_id: str) -> bytes:
+    return (
+        f'GET /open/{request_id} HTTP/1.1\r\nHost: api.example\r\n'
+        f'X-Request-Id: {request_id}\r\nAuthorization: Bearer {KEY}\r\n'
+        'X-Request-Deadline: 2000\r\n\r\n'
+    ).encode()
+
+
+async def _connect(host: Host) -> socket.socket:
+    """Connect with a small buffer, so that answers stay in the daemon."""
+    caller = socket.socket()
+    caller.setblocking(False)
+    caller.setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
+    )
+    address = ('127.0.0.1', host.port)
+    await asyncio.get_running_loop().sock_connect(caller, address)
+    return caller
+
+
+async def _read_to_end(caller: socket.socket) -> bytes:
+    loop = asyncio.get_running_loop()
+    received = bytearray()
+    while data := await loop.sock_recv(caller, 1_000_000):
+        received += data
+    return bytes(received)
+
+
+def _play(folder: pathlib.Path, *, sends_more: bool) -> None:
+    async def scenario(fleet: Fleet) -> None:
+        loop = asyncio.get_running_loop()
+        entry, other = fleet.hosts
+        other.upstream.padding_bytes = _BODY_BYTES
+        other.upstream.work_s = 0.5
+        callers = [await _connect(entry) for _ in range(3)]
+        for number, caller in enumerate(callers):
+            await loop.sock_sendall(caller, _make_request(f'r{number}'))
+        await asyncio.sleep(0.2)
+        entry.send_signal(signal.SIGTERM)
+        await asyncio.sleep(_END_OF_NOTICE_S + 0.7)
+        if sends_more:
+            for caller in callers:
+                with contextlib.suppress(OSError):
+                    await loop.sock_sendall(caller, _make_request('late'))
+        for number, caller in enumerate(callers):
+            received = await _read_to_end(caller)
+            head, _, body = received.partition(b'\r\n\r\n')
+            assert head.startswith(b'HTTP/1.1 200 ')
+            assert body.startswith(b'answer to r%d' % number)
+            assert f'Content-Length: {len(body)}\r\n'.encode() in head
+            assert len(body) > _BODY_BYTES
+            caller.close()
+        async with asyncio.timeout(1.0):
+            assert await entry.wait_for_exit() == 0
+        assert not [
+            run for run in other.upstream.runs if run.request_id == 'late'
+        ]
+
+    async def work() -> None:
+        async with run_fleet(folder) as fleet:
+            await scenario(fleet)
+
+    asyncio.run(work())
+
+
+def test_stop_sends_the_whole_answer_to_a_slow_caller(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a process that ends with answers in its buffers."""
+    _play(tmp_path, sends_more=False)
+
+
+def test_late_request_leaves_the_answer_to_a_slow_caller(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a reset that cuts an answer as the process ends."""
+    _play(tmp_path, sends_more=True)
+
+
+def test_stop_ends_in_time_beside_a_caller_that_reads_nothing(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a caller that makes the platform kill the process."""
+
+    async def scenario(fleet: Fleet) -> None:
+        entry, other = fleet.hosts
+        other.upstream.padding_bytes = _BODY_BYTES
+        caller = await _connect(entry)
+        await asyncio.get_running_loop().sock_sendall(
+            caller, _make_request('r')
+        )
+        await asyncio.sleep(0.2)
+        entry.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(_GRACE_S):
+            assert await entry.wait_for_exit() == 0
+        assert entry.log_lines('stopped')
+        caller.close()
+
+    async def work() -> None:
+        async with run_fleet(tmp_path) as fleet:
+            await scenario(fleet)
+
+    asyncio.run(work())
