Refuse requests of which a stop has read only a part

Cause: the process ended with requests in its memory of which only a part had come. Their callers saw a closed connection, which promises nothing, so that a request that must not run twice is not retried.

Ruled out: waiting for the rest of a body; it may pause for the idle timeout.

Conclusion: the last step of a stop answers such requests with 503, which states that they have not run, and ends the input of their connections. An earlier request of the connection keeps its own answer.

--- a/packages/dataplane/src/turmericrouter_dataplane/drain.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/drain.py
@@ -101,6 +101,7 @@
         self._callers.stop_listening()
         self._callers.close_idle(0.0)
         await asyncio.sleep(_LINGER_S)
+        self._callers.refuse_unfinished()
         await self._send_answers(started_at + stop_within_s - _SEND_MARGIN_S)
         self._callers.close_idle(0.0)
         self._log.event(
--- a/packages/dataplane/src/turmericrouter_dataplane/http_server.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/http_server.py
@@ -289,6 +289,20 @@
             return
         self._end_input()
         self._server.on_bad_request(status)
+        self._reject(status)
+
+    def refuse_unfinished(self) -> None:
+        """Refuse a request of which only a part has been received."""
+        if self._target and not self._is_input_ended:
+            self._end_input()
+            self._reject(503)
+
+    def close(self) -> None:
+        """Close the connection once all written data is sent."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def _reject(self, status: int) -> None:
         if self._transport is None or self._current is not None:
             return
         self._transport.write(
@@ -297,11 +311,6 @@
         )
         self._linger()
 
-    def close(self) -> None:
-        """Close the connection once all written data is sent."""
-        if self._transport is not None:
-            self._transport.close()
-
     def _end_input(self) -> None:
         self._is_input_ended = True
         self.head_started_at = math.inf
@@ -406,6 +415,11 @@
             ):
                 connection.fail(408)
 
+    def refuse_unfinished(self) -> None:
+        """Refuse the requests of which only a part has been received."""
+        for connection in list(self.connections):
+            connection.refuse_unfinished()
+
     def add_lingering(self, connection: HttpServerConnection) -> None:
         """Wait for the caller of a connection to close it."""
         if len(self.lingering) >= _MAX_LINGERING_CONNECTIONS:
--- a/tests/dataplane/test_http_server.py
+++ b/tests/dataplane/test_http_server.py
@@ -128,6 +128,36 @@
     play(scenario)
 
 
+def test_stop_refuses_requests_that_were_read_in_part() -> None:
+    """Guards against a closed connection that leaves its caller in doubt."""
+
+    async def scenario(fixture: _Fixture) -> None:
+        await fixture.send(_POST + b'\r\n012')
+        fixture.server.refuse_unfinished()
+        await fixture.send(b'3456789')
+        received = await fixture.reader.read()
+        assert received.startswith(b'HTTP/1.1 503 ')
+        assert received.count(b'HTTP/1.1 ') == 1
+        assert not fixture.handler.requests
+
+    play(scenario)
+
+
+def test_refusing_a_part_of_a_request_leaves_the_one_before_it() -> None:
+    """Guards against a stop that answers in the place of a target."""
+
+    async def scenario(fixture: _Fixture) -> None:
+        await fixture.send(_GET % 1 + _POST + b'\r\n012')
+        fixture.server.refuse_unfinished()
+        fixture.handler.answer(fixture.handler.requests[0])
+        received = await fixture.reader.read()
+        assert received.startswith(b'HTTP/1.1 200 ')
+        assert b'Connection: close' in received
+        assert received.count(b'HTTP/1.1 ') == 1
+
+    play(scenario)
+
+
 def test_body_that_stops_midway_is_refused() -> None:
     """Guards against connections that hold a part of a body for ever."""
 
--- a/tests/platform/test_stop_slow_callers.py
+++ b/tests/platform/test_stop_slow_callers.py
@@ -1,4 +1,7 @@
-"""A planned stop sends complete answers to callers that read slowly."""
+"""A planned stop sends complete answers to callers that read slowly.
+
+Callers that send slowly are refused at its end.
+"""
 
 import asyncio
 import contextlib
@@ -123,3 +126,34 @@
             await scenario(fleet)
 
     asyncio.run(work())
+
+
+def test_stop_refuses_a_request_that_has_come_in_part(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a closed connection that leaves its caller in doubt."""
+
+    async def scenario(fleet: Fleet) -> None:
+        entry, other = fleet.hosts
+        caller = await _connect(entry)
+        await asyncio.get_running_loop().sock_sendall(
+            caller,
+            b'POST /open/half HTTP/1.1\r\nHost: api.example\r\n'
+            b'X-Request-Id: half\r\nContent-Length: 100\r\n\r\nbegin',
+        )
+        await asyncio.sleep(0.2)
+        entry.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(_GRACE_S):
+            received = await _read_to_end(caller)
+            caller.close()
+            assert await entry.wait_for_exit() == 0
+        assert received.startswith(b'HTTP/1.1 503 ')
+        assert not [
+            run for run in other.upstream.runs if run.request_id == 'half'
+        ]
+
+    async def work() -> None:
+        async with run_fleet(tmp_path) as fleet:
+            await scenario(fleet)
+
+    asyncio.run(work())
