Test announcements until the end of a stop

Cause: the control listener was listed among the places where a stop may lose an answer.

Ruled out: a stop that closes the control listener early; it stays open until the process ends, and answers as it reads.

--- a/tests/platform/test_stop_slow_callers.py
+++ b/tests/platform/test_stop_slow_callers.py
@@ -9,6 +9,8 @@
 import signal
 import socket
 
+import aiohttp
+
 from platform_fleet import Fleet
 from platform_fleet import Host
 from platform_fleet import KEY
@@ -21,6 +23,8 @@
 _GRACE_S = 6.0
 # Without work a daemon ends its stop about this long after SIGTERM.
 _END_OF_NOTICE_S = 2.6
+# Time from the last request that a daemon may not read to its exit.
+_END_S = 0.5
 
 
 def _make_request(request_id: str) -> bytes:
@@ -157,3 +161,37 @@
             await scenario(fleet)
 
     asyncio.run(work())
+
+
+def test_announcements_until_the_end_of_a_stop_are_answered(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against an announcement that was read and has no answer."""
+
+    async def announce(host: Host, ends: asyncio.Event) -> None:
+        while not ends.is_set():
+            try:
+                assert await host.upstream.drain() == 200
+            except aiohttp.ClientError:
+                # It crossed the end of the process and was not read.
+                async with asyncio.timeout(_END_S):
+                    await ends.wait()
+                return
+            await asyncio.sleep(0.005)
+
+    async def scenario(fleet: Fleet) -> None:
+        entry = fleet.hosts[0]
+        entry.upstream.stop_announcing()
+        ends = asyncio.Event()
+        announcing = asyncio.create_task(announce(entry, ends))
+        await asyncio.sleep(0.2)
+        entry.send_signal(signal.SIGTERM)
+        assert await entry.wait_for_exit() == 0
+        ends.set()
+        await announcing
+
+    async def work() -> None:
+        async with run_fleet(tmp_path) as fleet:
+            await scenario(fleet)
+
+    asyncio.run(work())
