Close the connection that a test of links keeps silent

Cause: the stream of the silent peer outlived its event loop. Its finalizer warned in the middle of a later parse, and CPython 3.11.6 ended the pytest run with "SystemError: AST constructor recursion depth mismatch" at times.

Ruled out: a fault of the package; only the test held the stream.

Conclusion: the test checks what it did before.

--- a/tests/dataplane/test_links.py
+++ b/tests/dataplane/test_links.py
@@ -96,7 +96,10 @@
         async def swallow(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
-            await silent.wait()
+            try:
+                await silent.wait()
+            finally:
+                writer.close()
 
         server = await asyncio.start_server(swallow, '127.0.0.1', 0)
         port = server.sockets[0].getsockname()[1]
