Believe no refusal without an id on a used connection

Cause: a target may write an earlier refusal once more on a kept connection. Without its id it was taken as the answer to the next request. The gate held it for no proof only if that request must not run twice; a caller of a request that may run twice was told 503, not run, while the target was running it. Ruled out: a copy with its id is skipped by the connection; a copy between two requests closes it. Sound targets return the id, so distrust costs no refusal.

--- /dev/null
+++ b/tests/dataplane/scripted_target.py
@@ -0,0 +1,90 @@
+"""A target on the loopback address that writes what a test tells it to."""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import socket
+import struct
+
+from dataplane_values import NAMES
+
+# Returns what the target writes on the n-th request of a connection, counted
+# from 1, given the request's id.
+AnswerScript = Callable[[int, bytes], bytes]
+
+
+def make_answer(
+    status: int,
+    request_id: bytes = b'',
+    *,
+    body: bytes = b'',
+    is_not_run: bool = False,
+) -> bytes:
+    """Return an answer; without an id it has no id header."""
+    head = b'HTTP/1.1 %d X\r\nContent-Length: %d\r\n' % (status, len(body))
+    if request_id:
+        head += b'%b: %b\r\n' % (NAMES.request_id, request_id)
+    if is_not_run:
+        head += b'%b: 1\r\n' % NAMES.not_run
+    elif status < 300:
+        head += b'%b: s\r\n' % NAMES.signature
+    return head + b'\r\n' + body
+
+
+def find_request_id(head: bytes) -> bytes:
+    """Return the id of a request, empty if it has none."""
+    for line in head.split(b'\r\n'):
+        name, _, value = line.partition(b':')
+        if name.lower() == NAMES.request_id.lower():
+            return value.strip()
+    return b''
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a reset."""
+    sock = writer.get_extra_info('socket')
+    sock.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+    )
+    writer.transport.abort()
+
+
+class ScriptedTarget:
+    """Serves requests without a body as its script says."""
+
+    def __init__(self, script: AnswerScript) -> None:
+        self._script = script
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None] | None] = set()
+        self.port = 0
+        self.connection_count = 0
+        self.request_ids: list[bytes] = []
+
+    async def __aenter__(self) -> 'ScriptedTarget':
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        assert self._server is not None
+        self._server.close()
+        async with asyncio.timeout(5.0):
+            while self._tasks:
+                await asyncio.sleep(0.005)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        self.connection_count += 1
+        number = 0
+        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                number += 1
+                request_id = find_request_id(head)
+                self.request_ids.append(request_id)
+                writer.write(self._script(number, request_id))
+        writer.close()
+        self._tasks.discard(task)
--- /dev/null
+++ b/tests/dataplane/test_late_answers.py
@@ -0,0 +1,88 @@
+"""Guards against answers of earlier requests that are written once more."""
+
+import asyncio
+
+import pytest
+
+from dataplane_values import NAMES
+from scripted_target import AnswerScript
+from scripted_target import make_answer
+from scripted_target import ScriptedTarget
+from turmericrouter_core.verdict import Reason
+from turmericrouter_core.verdict import Verdict
+from turmericrouter_dataplane.decision_log import DecisionLog
+from turmericrouter_dataplane.frames import Dispatch
+from turmericrouter_dataplane.frames import Outcome
+from turmericrouter_dataplane.gate import Gate
+from turmericrouter_dataplane.local_target import LocalTarget
+from turmericrouter_dataplane.policy.target_chooser import TargetState
+from turmericrouter_dataplane.settings import Address
+from turmericrouter_dataplane.timers import TimerService
+
+
+def _make_dispatch(
+    number: int, request_id: bytes, *, is_idempotent: bool
+) -> Dispatch:
+    head = b'GET / HTTP/1.1\r\n'
+    if request_id:
+        head += b'%b: %b\r\n' % (NAMES.request_id, request_id)
+    return Dispatch(
+        number, '', 1, is_idempotent, 2000, 0, head, b'', request_id, 0
+    )
+
+
+async def _run_all(
+    script: AnswerScript, request_ids: tuple[bytes, ...], is_idempotent: bool
+) -> tuple[list[Outcome], ScriptedTarget]:
+    """Send requests one after the other through a gate."""
+    timers = TimerService(lambda name, error: None)
+    gate = Gate(
+        NAMES, timers, DecisionLog('host'), lambda digest, target: None
+    )
+    outcomes: list[Outcome] = []
+    async with ScriptedTarget(script) as target:
+        address = Address('127.0.0.1', target.port)
+        gate.set_target(
+            LocalTarget('t-1', 'design', address, 4, TargetState.SERVING)
+        )
+        for number, request_id in enumerate(request_ids, 1):
+            gate.submit(
+                _make_dispatch(
+                    number, request_id, is_idempotent=is_idempotent
+                ),
+                outcomes.append,
+            )
+            async with asyncio.timeout(5.0):
+                while len(outcomes) < number:
+                    await asyncio.sleep(0.005)
+        gate.stop()
+    return outcomes, target
+
+
+def _run(
+    script: AnswerScript,
+    *request_ids: bytes,
+    is_idempotent: bool = True,
+) -> tuple[list[Outcome], ScriptedTarget]:
+    return asyncio.run(_run_all(script, request_ids, is_idempotent))
+
+
+@pytest.mark.parametrize('status', [400, 421, 429, 503])
+@pytest.mark.parametrize('is_idempotent', [False, True])
+def test_late_refusal_without_an_id_is_no_proof_of_not_run(
+    is_idempotent: bool, status: int
+) -> None:
+    """Guards against "not run, try again" for a request that is running."""
+
+    def script(number: int, request_id: bytes) -> bytes:
+        if number == 1:
+            return make_answer(200, request_id)
+        return make_answer(status, is_not_run=True)
+
+    outcomes, _ = _run(script, b'a', b'b', is_idempotent=is_idempotent)
+    assert [o.verdict for o in outcomes] == [
+        Verdict.RAN,
+        Verdict.MAY_HAVE_RUN,
+    ]
+    assert outcomes[1].reason is Reason.TARGET_ANSWER_INVALID
+    assert outcomes[1].was_sent
