Keep the target in use after a late copy of a 421

Cause: a 421 without an id on a used connection, a late copy, marked the target as unreachable for half a second: the idle connections were closed, and new requests were refused. Ruled out: a true 421 of another target at the address comes on a connection that is new to it, where the first answer is certainly the request's own. Before and after: test_late_421_without_an_id_does_not_stop_the_target failed before with "At index 2 diff: TARGET_UNREACHABLE != SERVED"; it passes now, as does test_address_of_another_target_gets_no_further_requests. Conclusion: only an answer that certainly belongs to its request says something about the target.

--- a/packages/dataplane/src/turmericrouter_dataplane/gate.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate.py
@@ -288,7 +288,7 @@
             return
         assert connection is not None
         self._connections.give_back(connection)
-        if result.status == 421:
+        if result.status == 421 and result.is_attributed:
             # Another target uses the address; the announced one is gone or
             # will send a new announcement.
             self._target_unreachable(target, 'another target answered')
--- a/tests/dataplane/test_late_answers.py
+++ b/tests/dataplane/test_late_answers.py
@@ -86,3 +86,19 @@
     ]
     assert outcomes[1].reason is Reason.TARGET_ANSWER_INVALID
     assert outcomes[1].was_sent
+
+
+def test_late_421_without_an_id_does_not_stop_the_target() -> None:
+    """Guards against requests that are refused as the target seems gone."""
+
+    def script(number: int, request_id: bytes) -> bytes:
+        if number == 2:
+            return make_answer(421, is_not_run=True)
+        return make_answer(200, request_id)
+
+    outcomes, _ = _run(script, b'a', b'b', b'c')
+    assert [o.reason for o in outcomes] == [
+        Reason.SERVED,
+        Reason.TARGET_ANSWER_INVALID,
+        Reason.SERVED,
+    ]
