Pass on no failure without an id on a used connection

Cause: a 404, 500 or 504 without an id on a kept connection was passed on as the answer to the request that was sent last. It may be a late copy of an earlier answer, so its caller could get the answer of another request. Ruled out: an answer below 300 without an id is skipped by the connection. The first answer on a new connection is the request's own, with an id or without. Before and after: test_late_failure_without_an_id_is_not_passed_on failed all 3 cases before, for example with "assert [200, 404, 404] == [200, 0, 200]"; they pass now. test_answer_without_an_id_on_a_new_connection_is_believed passed before and after. Conclusion: the answer proves nothing (502, or another target if the request may run twice), and its connection is closed, as the true answer may follow.

--- a/packages/dataplane/src/turmericrouter_dataplane/gate.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate.py
@@ -296,13 +296,12 @@
 
     def _classify(self, job: GateJob, answer: HttpResponse) -> None:
         headers, status = answer.headers, answer.status
-        is_refusal = status == 421 or self._not_run in headers
-        if is_refusal and not answer.is_attributed:
+        if not answer.is_attributed:
             # It may be a late copy of the answer to an earlier request, so
             # that the target may be running this one.
             self._reply_invalid(job)
             return
-        if is_refusal:
+        if status == 421 or self._not_run in headers:
             reason = (
                 Reason.TARGET_RETIRED if status == 421 else Reason.TARGET_SHED
             )
--- a/packages/dataplane/src/turmericrouter_dataplane/http_client.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/http_client.py
@@ -273,7 +273,10 @@
             # follow.
             self._must_close = True
             return
-        if not self._parser.should_keep_alive():
+        is_attributed = bool(echoed) or self._sent_requests == 1
+        # The request's own answer may follow one that is not certainly it.
+        is_last = bool(self._id_header) and not is_attributed
+        if is_last or not self._parser.should_keep_alive():
             self._must_close = True
         self._read_keep_alive(headers)
         body = self._body
@@ -282,7 +285,7 @@
             status_line(status) + b''.join(self._header_lines),
             headers,
             body[0] if len(body) == 1 else b''.join(body),
-            is_attributed=bool(echoed) or self._sent_requests == 1,
+            is_attributed=is_attributed,
         )
 
     def _answers_other_request(self, status: int, echoed: bytes) -> bool:
--- a/tests/dataplane/test_late_answers.py
+++ b/tests/dataplane/test_late_answers.py
@@ -102,3 +102,37 @@
         Reason.TARGET_ANSWER_INVALID,
         Reason.SERVED,
     ]
+
+
+@pytest.mark.parametrize('status', [404, 500, 504])
+def test_late_failure_without_an_id_is_not_passed_on(status: int) -> None:
+    """Guards against an answer that belongs to an earlier request.
+
+    The connection is closed, as the request's own answer may follow.
+    """
+
+    def script(number: int, request_id: bytes) -> bytes:
+        if number == 1:
+            return make_answer(200, request_id)
+        return make_answer(status, body=b'of an earlier request')
+
+    outcomes, target = _run(script, b'a', b'b', b'c')
+    assert [o.status for o in outcomes] == [200, 0, 200]
+    assert outcomes[1].verdict is Verdict.MAY_HAVE_RUN
+    assert target.connection_count == 2
+
+
+@pytest.mark.parametrize('status', [400, 404, 429, 500, 503])
+def test_answer_without_an_id_on_a_new_connection_is_believed(
+    status: int,
+) -> None:
+    """Guards against distrust of targets whose failures have no id."""
+    is_not_run = status in (400, 429, 503)
+
+    def script(number: int, request_id: bytes) -> bytes:
+        return make_answer(status, is_not_run=is_not_run)
+
+    outcomes, _ = _run(script, b'a', is_idempotent=False)
+    assert outcomes[0].verdict is (
+        Verdict.NOT_RUN if is_not_run else Verdict.RAN
+    )
