Give a request without an id no answer of another request

Cause: the connection compared ids only if the request had one. On a kept connection a late answer with the id of an earlier request was taken as the answer to a request without an id, and counted as certainly its own. Ruled out: an answer without an id on a used connection is distrusted already. Before and after: test_request_without_an_id_gets_no_answer_of_another_request failed before with "assert Verdict.RAN is Verdict.MAY_HAVE_RUN" and the body of the earlier request; it passes now. Conclusion: an answer with an id never answers a request without one. Targets refuse such a request with 400; on a used connection that is 502 for the caller, since nothing shows whose answer it is.

--- a/packages/dataplane/src/turmericrouter_dataplane/http_client.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/http_client.py
@@ -291,11 +291,12 @@
     def _answers_other_request(self, status: int, echoed: bytes) -> bool:
         """Return whether an answer belongs to another request.
 
-        A target that refuses a request may omit the id.
+        A target that refuses a request may omit the id. The answer to a
+        request without an id has none.
         """
-        if not self._expected_id or echoed == self._expected_id:
-            return False
-        return bool(echoed) or status < 300
+        if echoed:
+            return echoed != self._expected_id
+        return bool(self._expected_id) and status < 300
 
     def _deliver(self) -> None:
         """Deliver the answer once all received data is parsed.
--- a/tests/dataplane/test_late_answers.py
+++ b/tests/dataplane/test_late_answers.py
@@ -136,3 +136,20 @@
     assert outcomes[0].verdict is (
         Verdict.NOT_RUN if is_not_run else Verdict.RAN
     )
+
+
+def test_request_without_an_id_gets_no_answer_of_another_request() -> None:
+    """Guards against a late answer, as the request has no id to compare.
+
+    Its own answer, a refusal, has no id either and proves nothing.
+    """
+
+    def script(number: int, request_id: bytes) -> bytes:
+        if number == 1:
+            return make_answer(200, request_id)
+        copy = make_answer(200, b'a', body=b'of an earlier request')
+        return copy + make_answer(400, is_not_run=True)
+
+    outcomes, _ = _run(script, b'a', b'', is_idempotent=False)
+    assert outcomes[1].verdict is Verdict.MAY_HAVE_RUN
+    assert outcomes[1].body == b''
