Count answers, not requests, to tell the first of a connection

Cause: an answer without an id counted as certainly the request's own while the connection had sent one request. If an answer with another id came first and was skipped, the next one without an id was believed too. Ruled out: interim answers are no answers and don't count. Before and after: test_refusal_after_a_skipped_answer_is_not_certainly_the_own failed before with "assert not True"; it passes now. The test with an interim answer passed before and after. Conclusion: only the first final answer of a connection is certain without id.

--- a/packages/dataplane/src/turmericrouter_dataplane/http_client.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/http_client.py
@@ -112,7 +112,8 @@
         self._budget = budget or ReceiveBudget(MAX_UNFINISHED_BYTES)
         # Bytes received since the request was sent.
         self._received_bytes = 0
-        self._sent_requests = 0
+        # Final answers received, with those to other requests.
+        self._answer_count = 0
         self.idle_since = time.monotonic()
         self.keep_alive_s = 0.0
 
@@ -155,7 +156,6 @@
             is_head: Whether the request is a HEAD, whose answer has no body.
         """
         assert self._transport is not None
-        self._sent_requests += 1
         self._callback = callback
         self._expected_id = expected_id
         self._is_head_request = is_head
@@ -266,6 +266,7 @@
         status = self._parser.get_status_code()
         if status < 200 or self._answer is not None:
             return
+        self._answer_count += 1
         headers = self._headers
         echoed = headers.get(self._id_header, b'')
         if self._answers_other_request(status, echoed):
@@ -273,7 +274,7 @@
             # follow.
             self._must_close = True
             return
-        is_attributed = bool(echoed) or self._sent_requests == 1
+        is_attributed = bool(echoed) or self._answer_count == 1
         # The request's own answer may follow one that is not certainly it.
         is_last = bool(self._id_header) and not is_attributed
         if is_last or not self._parser.should_keep_alive():
--- a/tests/dataplane/test_http_client.py
+++ b/tests/dataplane/test_http_client.py
@@ -206,3 +206,34 @@
         assert results[0].body == body
 
     asyncio.run(work())
+
+
+def test_refusal_after_a_skipped_answer_is_not_certainly_the_own() -> None:
+    """Guards against a first request whose second answer is believed.
+
+    An answer without an id is certain only as the first of its connection.
+    """
+
+    async def work() -> None:
+        late = b'HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n'
+        result, connection = await exchange(answer(b'other') + late)
+        assert isinstance(result, HttpResponse)
+        assert not result.is_attributed
+        assert not connection.is_reusable
+        connection.abort()
+
+    run(work)
+
+
+def test_refusal_after_an_interim_answer_is_certainly_the_own() -> None:
+    """Guards against interim answers that count as answers."""
+
+    async def work() -> None:
+        interim = b'HTTP/1.1 100 Continue\r\n\r\n'
+        refusal = b'HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n'
+        result, connection = await exchange(interim + refusal)
+        assert isinstance(result, HttpResponse)
+        assert result.is_attributed
+        connection.abort()
+
+    run(work)
