Close the connections of the answer tests' server

Cause: the server of test_http_client left connections open after a test. Their clean-up failed with "Event loop is closed" inside pytest's own parsing of the source of a failed test, which ended the whole run with "SystemError: AST constructor recursion depth mismatch" and without a list of failures. Ruled out: no assertion changes; what the server sends stays the same. One source of the warning, another test of the file, remains. Conclusion: the server of these tests closes what it opened.

--- a/tests/dataplane/test_http_client.py
+++ b/tests/dataplane/test_http_client.py
@@ -36,16 +36,19 @@
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         await reader.readuntil(b'\r\n\r\n')
-        for part in parts:
-            writer.write(part)
-            await writer.drain()
-            await asyncio.sleep(0.02)
-        if reset:
-            sock = writer.get_extra_info('socket')
-            linger = struct.pack('ii', 1, 0)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-            writer.transport.abort()
-        elif close:
+        try:
+            for part in parts:
+                writer.write(part)
+                await writer.drain()
+                await asyncio.sleep(0.02)
+            if reset:
+                sock = writer.get_extra_info('socket')
+                linger = struct.pack('ii', 1, 0)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                writer.transport.abort()
+            elif not close:
+                await reader.read()
+        finally:
             writer.close()
 
     server = await asyncio.start_server(serve, '127.0.0.1', 0)
