Believe no refusal whose id was sent before on its connection

Cause: two requests with one id may use one kept connection, for example a nested call that is made again. A late copy of the first one's refusal has the id of the second, which was told 503, not run, and was tried at a second target, while the first target was running it. Ruled out: retries of the daemon itself go to hosts not tried before. A copy can't be told from the true answer by its content. Before and after: test_late_refusal_of_a_repeated_id_is_no_proof_of_not_run failed all 3 cases before with "assert Verdict.NOT_RUN is Verdict.MAY_HAVE_RUN"; they pass now. test_answer_to_a_repeated_id_is_passed_on shows that callers that send one id many times are served. Conclusion: a connection remembers the last 64 ids it sent. A refusal with a repeated one proves nothing, and the connection closes after its answer. A fresh connection for a repeated id would keep such refusals believable; that needs a change where the gate takes a connection.

--- a/packages/dataplane/src/turmericrouter_dataplane/gate.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate.py
@@ -296,12 +296,13 @@
 
     def _classify(self, job: GateJob, answer: HttpResponse) -> None:
         headers, status = answer.headers, answer.status
-        if not answer.is_attributed:
+        is_refusal = status == 421 or self._not_run in headers
+        if not answer.is_attributed or (is_refusal and answer.is_repeated_id):
             # It may be a late copy of the answer to an earlier request, so
             # that the target may be running this one.
             self._reply_invalid(job)
             return
-        if status == 421 or self._not_run in headers:
+        if is_refusal:
             reason = (
                 Reason.TARGET_RETIRED if status == 421 else Reason.TARGET_SHED
             )
--- a/packages/dataplane/src/turmericrouter_dataplane/http_client.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/http_client.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client connection on the parser of httptools."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 import enum
 import socket
@@ -21,6 +22,9 @@
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 # Unfinished answers of a process; a fraction of the memory of a small host.
 MAX_UNFINISHED_BYTES = 64 * 1024 * 1024
+# Ids that a connection remembers, to notice one that is sent again. A late
+# copy comes where one of the next answers is expected, not many answers later.
+_MAX_SENT_IDS = 64
 
 
 class Failure(enum.Enum):
@@ -40,9 +44,18 @@
         body: Complete body without transfer coding.
         is_attributed: Whether the answer certainly belongs to the request:
             it has its id, or is the first on its connection.
+        is_repeated_id: Whether an earlier request on the connection had the
+            same id, so that the answer may be the one to that request.
     """
 
-    __slots__ = ('body', 'head', 'headers', 'is_attributed', 'status')
+    __slots__ = (
+        'body',
+        'head',
+        'headers',
+        'is_attributed',
+        'is_repeated_id',
+        'status',
+    )
 
     def __init__(
         self,
@@ -52,12 +65,14 @@
         body: bytes,
         *,
         is_attributed: bool = True,
+        is_repeated_id: bool = False,
     ) -> None:
         self.status = status
         self.head = head
         self.headers = headers
         self.body = body
         self.is_attributed = is_attributed
+        self.is_repeated_id = is_repeated_id
 
 
 AnswerCallback = Callable[[HttpResponse | Failure], None]
@@ -101,6 +116,10 @@
         self._transport: asyncio.Transport | None = None
         self._callback: AnswerCallback | None = None
         self._expected_id = b''
+        self._is_repeated_id = False
+        self._sent_ids: collections.deque[bytes] = collections.deque(
+            maxlen=_MAX_SENT_IDS
+        )
         self._is_head_request = False
         self._headers: dict[bytes, bytes] = {}
         self._header_lines: list[bytes] = []
@@ -158,6 +177,9 @@
         assert self._transport is not None
         self._callback = callback
         self._expected_id = expected_id
+        self._is_repeated_id = expected_id in self._sent_ids
+        if expected_id:
+            self._sent_ids.append(expected_id)
         self._is_head_request = is_head
         self._transport.write(data)
 
@@ -276,7 +298,8 @@
             return
         is_attributed = bool(echoed) or self._answer_count == 1
         # The request's own answer may follow one that is not certainly it.
-        is_last = bool(self._id_header) and not is_attributed
+        is_certain = is_attributed and not self._is_repeated_id
+        is_last = bool(self._id_header) and not is_certain
         if is_last or not self._parser.should_keep_alive():
             self._must_close = True
         self._read_keep_alive(headers)
@@ -287,6 +310,7 @@
             headers,
             body[0] if len(body) == 1 else b''.join(body),
             is_attributed=is_attributed,
+            is_repeated_id=self._is_repeated_id,
         )
 
     def _answers_other_request(self, status: int, echoed: bytes) -> bool:
--- a/tests/dataplane/test_late_answers.py
+++ b/tests/dataplane/test_late_answers.py
@@ -153,3 +153,34 @@
     outcomes, _ = _run(script, b'a', b'', is_idempotent=False)
     assert outcomes[1].verdict is Verdict.MAY_HAVE_RUN
     assert outcomes[1].body == b''
+
+
+@pytest.mark.parametrize('status', [421, 429, 503])
+def test_late_refusal_of_a_repeated_id_is_no_proof_of_not_run(
+    status: int,
+) -> None:
+    """Guards against a copy of a refusal that has the id of the request.
+
+    A nested call that is made again may have the id that it had before.
+    """
+
+    def script(number: int, request_id: bytes) -> bytes:
+        if number == 1 and status == 421:
+            # The connection of a 421 is closed, so it can't be the first.
+            return make_answer(200, request_id)
+        return make_answer(status, request_id, is_not_run=True)
+
+    outcomes, _ = _run(script, b'a', b'a', is_idempotent=False)
+    assert outcomes[1].verdict is Verdict.MAY_HAVE_RUN
+
+
+def test_answer_to_a_repeated_id_is_passed_on() -> None:
+    """Guards against callers that fail as they send one id many times."""
+
+    def script(number: int, request_id: bytes) -> bytes:
+        return make_answer(200, request_id)
+
+    outcomes, target = _run(script, b'a', b'a', b'a')
+    assert [o.status for o in outcomes] == [200, 200, 200]
+    # The second answer may be a copy of the first, with its own to follow.
+    assert target.connection_count == 2
