Read a body without a length to the end of its connection

Cause: the earlier daemon's response parser took an answer without a length as complete at the end of its head, so its caller got a 200 with an empty body, framed as whole. With bodies read to the end, a reset counted as the end too. Ruled out: a cut head, or a cut body with a length or in chunks, is an error at each of its bytes, ended by an end of stream or a reset (passed before). Conclusion: such a body ends with the end of the stream alone.

--- a/packages/daemon/src/turmericrouter_daemon/target_connection.py
+++ b/packages/daemon/src/turmericrouter_daemon/target_connection.py
@@ -155,12 +155,15 @@
                 self._payload = payload
                 self._head.set_result((message, payload))
 
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Complete an answer that ends with the connection, or fail it."""
-        super().connection_lost(exc)
+    def eof_received(self) -> None:
+        """Complete an answer that ends with the connection."""
         if self._parser is not None:
             with contextlib.suppress(HttpProcessingError):
                 self._parser.feed_eof()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail an answer that is not complete."""
+        super().connection_lost(exc)
         self._fail(TargetBrokenError('the connection was lost'))
 
     def close(self) -> None:
@@ -217,6 +220,8 @@
             self._loop,
             _READ_BUFFER_BYTES,
             response_with_body=method != 'HEAD',
+            # Without a length the body ends with the connection.
+            read_until_eof=True,
             auto_decompress=False,
         )
 
--- a/tests/daemon/test_target_connection.py
+++ b/tests/daemon/test_target_connection.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import socket
+import struct
 
 import pytest
 
@@ -195,6 +197,77 @@
     asyncio.run(run())
 
 
+TO_END = b'HTTP/1.1 200 OK\r\nX-Last: 1\r\n\r\n'
+CHUNKED_ANSWER = CHUNKED + b'5\r\nfirst\r\n0\r\n\r\n'
+
+
+def _end(request: ScriptedRequest, *, is_reset: bool) -> None:
+    if is_reset:
+        sock = request.writer.get_extra_info('socket')
+        linger = struct.pack('ii', 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        request.close()
+    else:
+        request.writer.close()
+
+
+@pytest.mark.parametrize('is_reset', [False, True])
+@pytest.mark.parametrize('whole', [ANSWER, CHUNKED_ANSWER])
+def test_no_prefix_of_an_answer_is_complete(
+    whole: bytes, is_reset: bool
+) -> None:
+    """Fails if a head or body cut at any byte counts as an answer."""
+    sizes = range(len(whole))
+
+    async def script(request: ScriptedRequest) -> None:
+        await request.send(whole[: sizes[request.number - 1]])
+        _end(request, is_reset=is_reset)
+
+    async def check(target: ScriptedTarget, pool: TargetPool) -> None:
+        for _ in sizes:
+            with pytest.raises(TargetBrokenError):
+                await pool.send(_request())
+
+    _with_pool(script, check)
+
+
+def test_no_prefix_of_a_head_without_a_length_is_complete() -> None:
+    """Fails if a cut head counts as one of an answer without a length."""
+    sizes = range(len(TO_END))
+
+    async def script(request: ScriptedRequest) -> None:
+        await request.send(TO_END[: sizes[request.number - 1]])
+        request.writer.close()
+
+    async def check(target: ScriptedTarget, pool: TargetPool) -> None:
+        for _ in sizes:
+            with pytest.raises(TargetBrokenError):
+                await pool.send(_request())
+
+    _with_pool(script, check)
+
+
+@pytest.mark.parametrize('is_reset', [False, True])
+def test_answer_without_a_length_ends_with_its_connection(
+    is_reset: bool,
+) -> None:
+    """Fails if a reset counts as the end of a body without a length."""
+
+    async def script(request: ScriptedRequest) -> None:
+        await request.send(TO_END + b'first')
+        await asyncio.sleep(0.05)
+        _end(request, is_reset=is_reset)
+
+    async def check(target: ScriptedTarget, pool: TargetPool) -> None:
+        if is_reset:
+            with pytest.raises(TargetBrokenError):
+                await pool.send(_request())
+        else:
+            assert (await pool.send(_request())).body == b'first'
+
+    _with_pool(script, check)
+
+
 @pytest.mark.parametrize(
     ('method', 'path', 'header'),
     [
