Test late refusals that come in pieces, and the wait after them

Cause: copies were only tested whole, and the wait for the true answer after a copy was not tested to end. Ruled out: a copy split at any byte, over the answer before, the idle time or the next request, answers no request. Conclusion: no fault found here.

--- a/tests/dataplane/test_cut_answers.py
+++ b/tests/dataplane/test_cut_answers.py
@@ -284,3 +284,31 @@
     )
     head = request.connection.respond.call_args.args[1]
     assert head.startswith(b'HTTP/1.1 502 ')
+
+
+_LATE = b'HTTP/1.1 503 X\r\nX-Id: other\r\nContent-Length: 4\r\n\r\nbusy'
+
+
+@pytest.mark.parametrize('size', range(1, len(_LATE)))
+def test_late_refusal_in_pieces_answers_no_request(size: int) -> None:
+    """Guards against a copy whose parts come apart from each other.
+
+    The first part comes with the answer before, on the idle connection, or
+    after the request was sent.
+    """
+    exchange = _Exchange()
+    exchange.receive(_LENGTH + _LATE[:size])
+    assert not exchange.connection.is_reusable
+    exchange = _Exchange()
+    exchange.receive(_LENGTH)
+    exchange.receive(_LATE[:size])
+    assert not exchange.connection.is_reusable
+    exchange = _Exchange(is_used=True)
+    exchange.receive(_LATE[:size])
+    exchange.receive(_LATE[size:] + b'\r\n')
+    assert not exchange.results
+    exchange.receive(_LENGTH)
+    (result,) = exchange.results
+    assert isinstance(result, HttpResponse)
+    assert (result.status, result.body) == (200, b'hello world!')
+    assert not exchange.connection.is_reusable
