--- a/packages/dataplane/src/turmericrouter_dataplane/gate.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate.py
@@ -288,7 +288,7 @@
             return
         assert connection is not None
         self._connections.give_back(connection)
-        if result.status == 421:
+        if result.status == 421 and result.is_attributed:
             # Another target uses the address; the announced one is gone or
             # will send a new announcement.
             self._target_unreachable(target, 'another target answered')
@@ -297,10 +297,9 @@
     def _classify(self, job: GateJob, answer: HttpResponse) -> None:
         headers, status = answer.headers, answer.status
         is_refusal = status == 421 or self._not_run in headers
-        if is_refusal and not (
-            answer.is_attributed or job.frame.is_idempotent
-        ):
-            # It may be a late copy of the answer to an earlier request.
+        if not answer.is_attributed or (is_refusal and answer.is_repeated_id):
+            # It may be a late copy of the answer to an earlier request, so
+            # that the target may be running this one.
             self._reply_invalid(job)
             return
         if is_refusal:
