Build the state of a request outside the dispatcher

Ruled out: nothing; this changes no behaviour. Conclusion: `CallFactory` has what is computed from headers alone.

--- a/packages/dataplane/src/turmericrouter_dataplane/dispatcher.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/dispatcher.py
@@ -3,16 +3,16 @@
 from collections.abc import Callable
 import random
 
-import xxhash
-
 from turmericrouter_core.verdict import Reason
 from turmericrouter_core.verdict import Verdict
 from turmericrouter_dataplane.call import Call
+from turmericrouter_dataplane.call_factory import AUTHORIZATION
+from turmericrouter_dataplane.call_factory import CallFactory
+from turmericrouter_dataplane.call_factory import find_workspace
 from turmericrouter_dataplane.decision_log import DecisionLog
 from turmericrouter_dataplane.decision_log import REFUSAL_LINES_PER_S
 from turmericrouter_dataplane.decision_log import ROUTINE_LINES_PER_S
 from turmericrouter_dataplane.fleet_config import FleetConfig
-from turmericrouter_dataplane.fleet_config import Route
 from turmericrouter_dataplane.fleet_config import Workspace
 from turmericrouter_dataplane.frames import Dispatch
 from turmericrouter_dataplane.frames import Outcome
@@ -25,13 +25,11 @@
 from turmericrouter_dataplane.policy import retry_after
 from turmericrouter_dataplane.policy.crash_records import CrashRecords
 from turmericrouter_dataplane.policy.downstream_load import DownstreamLoad
-from turmericrouter_dataplane.policy.gate_queue import RANK_COUNT
 from turmericrouter_dataplane.policy.retry_budget import RetryBudget
 from turmericrouter_dataplane.policy.route_table import RouteTable
 from turmericrouter_dataplane.policy.target_chooser import TargetChooser
 from turmericrouter_dataplane.policy.workspace_quota import WorkspaceQuota
 from turmericrouter_dataplane.refusals import Refusals
-from turmericrouter_dataplane.request_head import RequestHeads
 from turmericrouter_dataplane.timers import TimerService
 from turmericrouter_dataplane.token_exchange import TokenExchange
 
@@ -45,9 +43,6 @@
 # Hosts that are tried for one request; the attempts of a route count only
 # those that sent it to their target.
 _MAX_HOSTS_TRIED = 4
-_PRIORITY_LEVELS = 4
-_AUTHORIZATION = b'authorization'
-_BEARER = b'bearer '
 LinkLookup = Callable[[str], Link | None]
 
 
@@ -66,7 +61,7 @@
         crash_records: Records of poison requests, which crash targets.
         downstream_load: Estimated load behind routes.
         exchange: Gets tokens of workspaces.
-        parent_of: Returns the id of the request that makes a nested call,
+        parent_request_id: Returns the id of the request that makes a nested call,
             empty if the id of the call does not contain it.
         timers: Timer service.
         log: Decision log.
@@ -103,16 +98,12 @@
         self._crash_records = crash_records
         self._downstream_load = downstream_load
         self._exchange = exchange
-        self._parent_of = parent_request_id
         self._timers = timers
         self._log = log
         self._metrics = metrics
         self._rng = rng
         self._refusals = Refusals(log, metrics, rng)
-        self._names = headers
-        self._id_name = headers.request_id.lower()
-        self._deadline_name = headers.deadline_ms.lower()
-        self._heads = RequestHeads(headers, service)
+        self._factory = CallFactory(headers, service, parent_request_id)
         self._table: RouteTable | None = None
         self._begun = 0
         self._awaiting_tokens = 0
@@ -125,7 +116,7 @@
 
     def set_service(self, service: str) -> None:
         """Set the service that requests of this host come from."""
-        self._heads = RequestHeads(self._names, service)
+        self._factory.set_service(service)
 
     def set_config(self, config: FleetConfig) -> None:
         """Put a configuration in force."""
@@ -140,15 +131,15 @@
             self._refusals.refuse_early(request, Reason.CONFIG_STALE)
             return
         values = {lower: value for lower, _, value in request.headers}
-        request_id = values.get(self._id_name, b'')
-        authorization = values.get(_AUTHORIZATION, b'')
+        request_id = self._factory.request_id(values)
         route = table.find(values.get(b'host', b''), request.target)
         if route is None:
             self._refusals.refuse_early(
                 request, Reason.ROUTE_UNKNOWN, request_id
             )
             return
-        workspace = self._workspace(table, authorization)
+        authorization = values.get(AUTHORIZATION, b'')
+        workspace = find_workspace(table, authorization)
         if (
             workspace is None
             and table.has_workspaces
@@ -159,13 +150,8 @@
             )
             self._refusals.refuse_early(request, reason, request_id)
             return
-        call = self._make_call(
-            request,
-            route,
-            workspace,
-            request_id,
-            values.get(self._deadline_name, b''),
-            self._timers.now(),
+        call = self._factory.make(
+            request, values, route, workspace, self._timers.now()
         )
         if self._is_refused(call):
             return
@@ -246,57 +232,6 @@
             **self._quota.describe(call.workspace),
         )
 
-    def _workspace(
-        self, table: RouteTable, authorization: bytes
-    ) -> Workspace | None:
-        if authorization[:7].lower() != _BEARER:
-            return None
-        return table.find_workspace(authorization[7:].strip())
-
-    def _make_call(
-        self,
-        request: HttpRequest,
-        route: Route,
-        workspace: Workspace | None,
-        request_id: bytes,
-        deadline: bytes,
-        now: float,
-    ) -> Call:
-        remaining_s = route.timeout_s
-        if deadline.isdigit():
-            remaining_s = min(remaining_s, int(deadline) / 1000)
-        call = Call(
-            request,
-            route,
-            workspace=workspace.name if workspace else '',
-            request_id=request_id,
-            arrived_at=now,
-            expires_at=now + remaining_s,
-        )
-        request.context = call
-        call.is_nested = workspace is None
-        if workspace is not None:
-            level = (
-                min(workspace.priority, _PRIORITY_LEVELS - 1)
-                * _PRIORITY_LEVELS
-            )
-            level += min(route.priority, _PRIORITY_LEVELS - 1)
-            call.rank = min(1 + level, RANK_COUNT - 1)
-        else:
-            call.parent = self._parent_of(request_id)
-        call.head = self._heads.build(request, call.workspace)
-        digest = xxhash.xxh3_64_intdigest(
-            b'%b %b %b %b'
-            % (
-                call.workspace.encode(),
-                request.method,
-                request.target,
-                request.body,
-            )
-        )
-        call.digest = digest & 0x7FFFFFFFFFFFFFFF
-        return call
-
     def _begin(self, call: Call) -> None:
         if call.is_done:
             return
