Give requests of a stop no more time than the stop has

Cause: in a planned stop, requests were taken with the whole time that their route and caller left them: callers' for 2.6 s, nested calls until the end, 1 s before the kill. A request that needed longer was passed on and cut when the connections closed: with no answer if this host's own target was at work on it, with a 502 of the daemon if a peer's was. The targets would have stopped only at the longer limit. Ruled out: slow closing. The requests end with the answer of a target, in the same time, once the target knows the limit. Conclusion: each target gets at most the time until 0.25 s before connections close and answers by itself. A request is refused unsent if less than its latency objective is left for it, and less than its own time limit. After the notice, the gate refuses peers, which retry at another host, and still serves this host.

--- a/packages/dataplane/src/turmericrouter_dataplane/dispatcher.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/dispatcher.py
@@ -19,12 +19,12 @@
 from turmericrouter_dataplane.gate import Gate
 from turmericrouter_dataplane.header_names import HeaderNames
 from turmericrouter_dataplane.http_server import HttpRequest
-from turmericrouter_dataplane.intake import Intake
 from turmericrouter_dataplane.links import Link
 from turmericrouter_dataplane.metrics import Metrics
 from turmericrouter_dataplane.policy import retry_after
 from turmericrouter_dataplane.policy.crash_records import CrashRecords
 from turmericrouter_dataplane.policy.downstream_load import DownstreamLoad
+from turmericrouter_dataplane.policy.planned_stop import StopGuard
 from turmericrouter_dataplane.policy.retry_budget import RetryBudget
 from turmericrouter_dataplane.policy.route_table import RouteTable
 from turmericrouter_dataplane.policy.target_chooser import TargetChooser
@@ -61,8 +61,8 @@
         crash_records: Records of poison requests, which crash targets.
         downstream_load: Estimated load behind routes.
         exchange: Gets tokens of workspaces.
-        parent_request_id: Returns the id of the request that makes a nested call,
-            empty if the id of the call does not contain it.
+        parent_request_id: Returns the id of the request that makes a nested
+            call, empty if the id of the call does not contain it.
         timers: Timer service.
         log: Decision log.
         metrics: Counters.
@@ -107,7 +107,7 @@
         self._table: RouteTable | None = None
         self._begun = 0
         self._awaiting_tokens = 0
-        self.intake = Intake.OPEN
+        self.stop_guard = StopGuard()
 
     @property
     def in_flight(self) -> int:
@@ -192,7 +192,12 @@
     def _is_refused(self, call: Call) -> bool:
         """Refuse poison requests, and those that find no capacity here."""
         now = call.arrived_at
-        if not self.intake.takes(call.is_nested):
+        if not self.stop_guard.takes(
+            now,
+            is_local=call.is_nested,
+            expires_at=call.expires_at,
+            service_time_s=call.route.latency_objective_s,
+        ):
             self._refusals.refuse_early(
                 call.request, Reason.DAEMON_STOPPING, call.request_id
             )
@@ -291,12 +296,13 @@
             _MAX_QUEUE_WAIT_S, route.latency_objective_s * fraction
         )
         max_queue_wait_s -= now - call.arrived_at
+        expires_at = self.stop_guard.limit(call.expires_at)
         return Dispatch(
             correlation,
             target_id,
             call.rank,
             route.is_idempotent,
-            max(1, int((call.expires_at - now) * 1000)),
+            max(1, int((expires_at - now) * 1000)),
             max(0, int(max_queue_wait_s * 1000)),
             call.head,
             call.request.body,
--- a/packages/dataplane/src/turmericrouter_dataplane/drain.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/drain.py
@@ -7,16 +7,12 @@
 from turmericrouter_dataplane.dispatcher import Dispatcher
 from turmericrouter_dataplane.gate import Gate
 from turmericrouter_dataplane.http_server import HttpServer
-from turmericrouter_dataplane.intake import Intake
+from turmericrouter_dataplane.policy.planned_stop import StopTimes
 from turmericrouter_dataplane.timers import TimerService
 
-# Callers are routed to the daemon until two readiness checks have failed.
-_NOTICE_S = 2.6
 _IDLE_CHECK_PERIOD_S = 0.05
 # Requests that cross the end of the service are still refused for this time.
 _LINGER_S = 0.1
-# Time kept for closing connections before the process is killed.
-_CLOSE_MARGIN_S = 1.0
 
 
 class Peers(Protocol):
@@ -62,36 +58,40 @@
     async def run(self, cause: str, stop_within_s: float) -> None:
         """Serve until callers and peers have noticed, then until idle.
 
-        New requests are refused from then on, before the last ones have
-        their answers. Peers keep their links until this returns.
+        What is sent to a target meanwhile has a time limit within the stop,
+        and what is too late for that is refused. All new requests are refused
+        before the last ones have their answers. Peers keep their links until
+        this returns.
 
         Args:
             cause: Signal that stops the daemon, for the log.
             stop_within_s: Time until the process must have ended.
         """
-        started_at = self._timers.now()
+        times = StopTimes.plan(self._timers.now(), stop_within_s)
         self._log.event(
             'stopping', signal=cause, in_flight=self._dispatcher.in_flight
         )
         self._callers.is_leaving = True
+        guards = (self._dispatcher.stop_guard, self._gate.stop_guard)
+        for guard in guards:
+            guard.begin(times)
         self._peers.leave()
-        ends_at = started_at + stop_within_s - _CLOSE_MARGIN_S
-        await self._sleep_until(min(started_at + _NOTICE_S, ends_at))
-        # Requests that run at the target still need their nested calls.
-        self._dispatcher.intake = Intake.NESTED_ONLY
-        while self._timers.now() < ends_at:
+        await self._sleep_until(times.notice_ends_at)
+        for guard in guards:
+            guard.end_notice()
+        while self._timers.now() < times.ends_at:
             if self._is_idle:
                 break
             await asyncio.sleep(_IDLE_CHECK_PERIOD_S)
-        self._dispatcher.intake = Intake.CLOSED
-        self._gate.is_closed = True
+        for guard in guards:
+            guard.close()
         self._callers.stop_listening()
         self._callers.close_idle(0.0)
         await asyncio.sleep(_LINGER_S)
         self._callers.close_idle(0.0)
         self._log.event(
             'stopped',
-            after_s=round(self._timers.now() - started_at, 2),
+            after_s=round(self._timers.now() - times.started_at, 2),
             in_flight=self._dispatcher.in_flight,
         )
 
--- a/packages/dataplane/src/turmericrouter_dataplane/gate.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate.py
@@ -17,6 +17,7 @@
 from turmericrouter_dataplane.http_client import HttpResponse
 from turmericrouter_dataplane.local_target import LocalTarget
 from turmericrouter_dataplane.policy.gate_queue import GateQueue
+from turmericrouter_dataplane.policy.planned_stop import StopGuard
 from turmericrouter_dataplane.policy.target_chooser import TargetState
 from turmericrouter_dataplane.target_connections import TargetConnections
 from turmericrouter_dataplane.timers import TimerService
@@ -25,6 +26,9 @@
 # are taken.
 _LIMIT_FRACTION = 0.94
 _EXPIRY_GRACE_S = 0.15
+# A request of a peer that a stopping daemon cannot give this time is refused;
+# the peer, which knows the latency objective, sends it to another host.
+_MIN_SERVICE_TIME_S = 0.5
 # Statuses from which callers conclude that a request has not run.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -60,8 +64,7 @@
         self._running = 0
         self._connections = TargetConnections(headers)
         self._limit = 0
-        # Whether new requests are refused because the daemon stops.
-        self.is_closed = False
+        self.stop_guard = StopGuard()
         self._signature = headers.signature.lower()
         self._not_run = headers.not_run.lower()
 
@@ -121,7 +124,12 @@
         self._open_count += 1
         job.peak_load = self.load
         target = self._target
-        if self.is_closed:
+        if not self.stop_guard.takes(
+            job.received_at,
+            is_local=job.is_local,
+            expires_at=job.expires_at,
+            service_time_s=_service_time_s(job),
+        ):
             self._refuse(job, Reason.DAEMON_STOPPING)
         elif target is None or not self._is_reachable:
             self._refuse(job, Reason.TARGET_UNREACHABLE)
@@ -229,7 +237,8 @@
         frame = job.frame
         target = self._target
         assert target is not None
-        remaining_ms = int((job.expires_at - self._timers.now()) * 1000)
+        expires_at = self.stop_guard.limit(job.expires_at)
+        remaining_ms = int((expires_at - self._timers.now()) * 1000)
         if remaining_ms <= 0:
             self._connections.give_back(connection)
             self._refuse(job, Reason.DEADLINE_EXPIRED)
@@ -409,5 +418,13 @@
             self._start(job)
 
 
+def _service_time_s(job: GateJob) -> float:
+    """Return the time that a stop must leave for a request.
+
+    The dispatcher has decided on the requests of this host.
+    """
+    return 0.0 if job.is_local else _MIN_SERVICE_TIME_S
+
+
 def _ignore(outcome: Outcome) -> None:
     """Discard the outcome of a request whose caller has disconnected."""
--- a/packages/dataplane/src/turmericrouter_dataplane/gate_job.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate_job.py
@@ -43,6 +43,11 @@
         """Return whether the request has its outcome."""
         return self.phase is Phase.DONE
 
+    @property
+    def is_local(self) -> bool:
+        """Return whether the request entered at this host."""
+        return not self.frame.correlation
+
     @property
     def has_started(self) -> bool:
         """Return whether the target may have seen the request."""
--- a/packages/dataplane/src/turmericrouter_dataplane/intake.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/intake.py
@@ -7,15 +7,14 @@
     """Which new requests a daemon takes; the others are refused unsent."""
 
     OPEN = 'open'
-    NESTED_ONLY = 'nested-only'
+    LOCAL_ONLY = 'local-only'
     CLOSED = 'closed'
 
-    def takes(self, is_nested: bool) -> bool:
+    def takes(self, is_local: bool) -> bool:
         """Return whether a request is taken.
 
         Args:
-            is_nested: Whether a target makes the request.
+            is_local: Whether the local target makes the request or, at the
+                gate, whether it entered at this host.
         """
-        return self is Intake.OPEN or (
-            self is Intake.NESTED_ONLY and is_nested
-        )
+        return self is Intake.OPEN or (self is Intake.LOCAL_ONLY and is_local)
--- /dev/null
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/planned_stop.py
@@ -0,0 +1,120 @@
+"""Decides which requests are still sent to a target during a planned stop."""
+
+import dataclasses
+import math
+from typing import Self
+
+from turmericrouter_dataplane.intake import Intake
+
+# Callers are routed to the daemon until two readiness checks have failed.
+_NOTICE_S = 2.6
+# Time kept for closing connections before the process is killed.
+_CLOSE_MARGIN_S = 1.0
+# A target answers at the time limit that it gets. The answer then has this
+# time to pass through the gate and the link before connections are closed.
+_ANSWER_MARGIN_S = 0.25
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopTimes:
+    """Times of a planned stop, in monotonic seconds.
+
+    Args:
+        started_at: The signal arrived.
+        notice_ends_at: Callers and peers have noticed.
+        answers_due_at: Targets have answered what they got after the start.
+        ends_at: Connections are closed.
+    """
+
+    started_at: float
+    notice_ends_at: float
+    answers_due_at: float
+    ends_at: float
+
+    @classmethod
+    def plan(cls, started_at: float, stop_within_s: float) -> Self:
+        """Return the times of a stop.
+
+        Args:
+            started_at: Monotonic seconds.
+            stop_within_s: Time until the process must have ended.
+        """
+        ends_at = started_at + stop_within_s - _CLOSE_MARGIN_S
+        return cls(
+            started_at=started_at,
+            notice_ends_at=min(started_at + _NOTICE_S, ends_at),
+            answers_due_at=ends_at - _ANSWER_MARGIN_S,
+            ends_at=ends_at,
+        )
+
+
+class StopGuard:
+    """Decides which requests are taken and sent; without a stop, all are."""
+
+    def __init__(self) -> None:
+        self._intake = Intake.OPEN
+        self._answers_due_at = math.inf
+        self._refused = 0
+
+    @property
+    def refused(self) -> int:
+        """Return the number of requests that were refused."""
+        return self._refused
+
+    def begin(self, times: StopTimes) -> None:
+        """Refuse from now on what cannot be served before the stop ends."""
+        self._answers_due_at = times.answers_due_at
+
+    def end_notice(self) -> None:
+        """Take only local requests from now on.
+
+        Requests that run at the local target still need their nested calls.
+        """
+        self._intake = Intake.LOCAL_ONLY
+
+    def close(self) -> None:
+        """Take no requests from now on."""
+        self._intake = Intake.CLOSED
+
+    def takes(
+        self,
+        now: float,
+        *,
+        is_local: bool,
+        expires_at: float,
+        service_time_s: float,
+    ) -> bool:
+        """Return whether a new request is taken, and count it if not.
+
+        Args:
+            now: Monotonic seconds.
+            is_local: Whether it is a nested call or, at the gate, from this
+                host.
+            expires_at: When its answer is due, in monotonic seconds.
+            service_time_s: Time that serving it takes at most, usually.
+        """
+        is_taken = self._intake.takes(is_local) and self._is_in_time(
+            now, expires_at, service_time_s
+        )
+        self._refused += not is_taken
+        return is_taken
+
+    def limit(self, expires_at: float) -> float:
+        """Return when a target has to answer, in monotonic seconds.
+
+        Args:
+            expires_at: When the answer is due without a stop.
+        """
+        return min(expires_at, self._answers_due_at)
+
+    def _is_in_time(
+        self, now: float, expires_at: float, service_time_s: float
+    ) -> bool:
+        """Return whether the stop leaves the time that a request needs.
+
+        A target that stops halfway has run a request that must not run again.
+        """
+        remaining_s = self._answers_due_at - now
+        return remaining_s > 0 and remaining_s >= min(
+            service_time_s, expires_at - now
+        )
--- a/tests/dataplane/test_gate.py
+++ b/tests/dataplane/test_gate.py
@@ -1,6 +1,7 @@
 """Guards against wrong request counts and targets at the gate."""
 
 import asyncio
+import time
 
 from dataplane_values import NAMES
 from turmericrouter_core.verdict import Reason
@@ -10,6 +11,7 @@
 from turmericrouter_dataplane.frames import Outcome
 from turmericrouter_dataplane.gate import Gate
 from turmericrouter_dataplane.local_target import LocalTarget
+from turmericrouter_dataplane.policy.planned_stop import StopTimes
 from turmericrouter_dataplane.policy.target_chooser import TargetState
 from turmericrouter_dataplane.settings import Address
 from turmericrouter_dataplane.timers import TimerService
@@ -167,3 +169,58 @@
         server.close()
 
     asyncio.run(work())
+
+
+def test_stopping_host_refuses_peers_but_not_its_own_requests() -> None:
+    """Guards against a stop that takes new work of peers until its end."""
+
+    async def work() -> None:
+        gate = make_gate()
+        outcomes: list[Outcome] = []
+        gate.stop_guard.begin(StopTimes.plan(time.monotonic(), 6.0))
+        gate.submit(make_dispatch(1), outcomes.append)
+        gate.stop_guard.end_notice()
+        own = gate.submit(make_dispatch(0), outcomes.append)
+        gate.submit(make_dispatch(2), outcomes.append)
+        assert [(o.correlation, o.verdict, o.reason) for o in outcomes] == [
+            (2, Verdict.NOT_RUN, Reason.DAEMON_STOPPING)
+        ]
+        assert not own.is_done
+
+    asyncio.run(work())
+
+
+def test_target_of_a_stopping_host_gets_the_time_that_is_left() -> None:
+    """Guards against a target that works on after the end of the stop."""
+
+    async def work() -> None:
+        limits_ms: list[int] = []
+
+        async def answer(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            head = await reader.readuntil(b'\r\n\r\n')
+            value = head.partition(NAMES.deadline_ms + b': ')[2]
+            limits_ms.append(int(value.partition(b'\r\n')[0]))
+            writer.close()
+
+        server = await asyncio.start_server(answer, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        gate = make_gate()
+        address = Address('127.0.0.1', port)
+        gate.set_target(
+            LocalTarget('t-1', 'design', address, 4, TargetState.SERVING)
+        )
+        outcomes: list[Outcome] = []
+        times = StopTimes.plan(time.monotonic(), 2.5)
+        gate.stop_guard.begin(times)
+        gate.submit(make_dispatch(), outcomes.append)
+        async with asyncio.timeout(5.0):
+            while not outcomes:
+                await asyncio.sleep(0.01)
+        longest_s = times.answers_due_at - times.started_at
+        assert longest_s * 500 < limits_ms[0] <= longest_s * 1000
+        gate.stop()
+        server.close()
+
+    asyncio.run(work())
--- /dev/null
+++ b/tests/dataplane/test_planned_stop.py
@@ -0,0 +1,80 @@
+"""Guards against requests that a stop takes but cannot serve."""
+
+import pytest
+
+from turmericrouter_dataplane.policy.planned_stop import StopGuard
+from turmericrouter_dataplane.policy.planned_stop import StopTimes
+
+
+def make_guard() -> tuple[StopGuard, StopTimes]:
+    """Return a guard in a stop that began at 100 s, and its times."""
+    times = StopTimes.plan(100.0, 6.0)
+    guard = StopGuard()
+    guard.begin(times)
+    return guard, times
+
+
+def takes(
+    guard: StopGuard,
+    now: float,
+    *,
+    remaining_s: float = 5.0,
+    service_time_s: float = 1.0,
+    is_local: bool = False,
+) -> bool:
+    return guard.takes(
+        now,
+        is_local=is_local,
+        expires_at=now + remaining_s,
+        service_time_s=service_time_s,
+    )
+
+
+def test_without_a_stop_all_is_taken_with_its_own_limit() -> None:
+    guard = StopGuard()
+    assert takes(guard, 100.0, remaining_s=1e6, service_time_s=1e6)
+    assert guard.limit(1e6) == 1e6
+    assert guard.refused == 0
+
+
+def test_stop_ends_before_the_process_is_killed() -> None:
+    times = StopTimes.plan(100.0, 6.0)
+    assert times == StopTimes(100.0, 102.6, 104.75, 105.0)
+
+
+def test_limit_ends_before_connections_close() -> None:
+    """Guards against a target that is cut while it works."""
+    guard, times = make_guard()
+    assert guard.limit(110.0) == times.answers_due_at < times.ends_at
+    assert guard.limit(103.0) == 103.0
+
+
+@pytest.mark.parametrize(
+    ('left_s', 'remaining_s', 'is_taken'),
+    [
+        (1.1, 5.0, True),
+        (0.9, 5.0, False),
+        (0.9, 0.8, True),
+        (-0.1, 0.8, False),
+        (-0.1, -0.2, False),
+    ],
+)
+def test_taken_if_the_stop_leaves_the_time_that_it_needs(
+    left_s: float, remaining_s: float, is_taken: bool
+) -> None:
+    """Guards against a request that is passed on and stopped halfway."""
+    guard, times = make_guard()
+    now = times.answers_due_at - left_s
+    assert takes(guard, now, remaining_s=remaining_s) is is_taken
+    assert guard.refused == (not is_taken)
+
+
+def test_only_local_requests_are_taken_after_the_notice() -> None:
+    guard, times = make_guard()
+    now = times.notice_ends_at
+    guard.end_notice()
+    assert takes(guard, now, is_local=True)
+    assert not takes(guard, now)
+    guard.close()
+    assert not takes(guard, now, is_local=True)
+    assert guard.refused == 2
--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -90,6 +90,7 @@
         domain: Failure domain of the host.
         has_proxies: Whether peers and the store are reached through the
             ports `peer_proxy_port` and `store_proxy_port`.
+        grace_s: Time after SIGTERM until the platform kills the daemon.
     """
 
     def __init__(
@@ -101,6 +102,7 @@
         domain: str = 'north',
         *,
         has_proxies: bool = False,
+        grace_s: float = 6,
     ) -> None:
         self.name = name
         self.service = service
@@ -130,7 +132,7 @@
             f'node_name = "{name}"\nzone = "{domain}"\nservice = "{service}"\n'
             f'ip = "127.0.0.1"\ninternal_ports = [{ports["peers"]}, 65535]\n'
             f'app_addr = "127.0.0.1:{ports["app"]}"\n'
-            'bounds = ["grace_s=6", "retry_slack=49"]\n'
+            f'bounds = ["grace_s={grace_s}", "retry_slack=49"]\n'
             f'[listen]\n{listen}\n'
             f'[platform]\naddress = "127.0.0.1:'
             f'{self.store_proxy_port if has_proxies else store_port}"\n'
@@ -276,6 +278,8 @@
     folder: pathlib.Path,
     services: tuple[str, ...] = ('design', 'works'),
     domains: tuple[str, ...] = ('north',),
+    *,
+    grace_s: float = 6,
 ) -> AsyncIterator[Fleet]:
     """Run a fleet with one host per service, ready to serve.
 
@@ -283,6 +287,7 @@
         folder: Where settings and output are kept.
         services: Service of each host.
         domains: Failure domains, assigned to the hosts in turn.
+        grace_s: Time after SIGTERM until the platform kills a daemon.
     """
     store = StandinStore()
     await store.start()
@@ -293,6 +298,7 @@
             store.port,
             folder,
             domains[number % len(domains)],
+            grace_s=grace_s,
         )
         for number, service in enumerate(services)
     ]
--- a/tests/platform/standin_upstream.py
+++ b/tests/platform/standin_upstream.py
@@ -1,12 +1,14 @@
 """Stand-in for an upstream of the platform, a target beside a daemon.
 
 Tests set its faults; a path that contains `crash` resets the connection, and
-one that contains `nested` makes a nested call.
+one that contains `nested` makes a nested call. A path that contains `work-N`
+works for N milliseconds. Work stops with a 504 at the time limit.
 """
 
 import asyncio
 import dataclasses
 import random
+import re
 import time
 
 import aiohttp
@@ -184,17 +186,25 @@
         if 'crash' in request.path:
             assert request.transport is not None
             request.transport.abort()
+        work_s = self._work_s(request)
+        limit_s = int(request.headers.get('X-Request-Deadline', 60_000)) / 1000
         try:
-            await asyncio.sleep(self.work_s)
+            await asyncio.sleep(min(work_s, limit_s))
         except asyncio.CancelledError:
             self.cancelled_count += 1
             raise
+        if work_s > limit_s:
+            return self._make_answer(request_id, 504)
         if 'nested' in request.path and not await self._call_nested(
             request_id
         ):
             return self._make_answer(request_id, 500)
         return self._make_answer(request_id)
 
+    def _work_s(self, request: web.Request) -> float:
+        match = re.search(r'work-(\d+)', request.path)
+        return int(match[1]) / 1000 if match else self.work_s
+
     def _record_arrival(
         self, request: web.Request, request_id: str, has_run: bool
     ) -> None:
