Send nothing to a target once the stop has ended

Cause: a request that was taken and waited (for a token of its workspace, for a slot, for a connection to the target, for a retry) was sent whenever the wait ended, also while connections closed. It was cut at once and may have run. Ruled out: new requests, which were refused by then. Conclusion: each send is checked against the time of the stop; a request that no target has seen is refused with 503, one of a peer as not run.

--- a/packages/dataplane/src/turmericrouter_dataplane/dispatcher.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/dispatcher.py
@@ -252,6 +252,13 @@
 
     def _attempt(self, call: Call) -> None:
         now = self._timers.now()
+        if not self.stop_guard.may_send(
+            now,
+            expires_at=call.expires_at,
+            service_time_s=call.route.latency_objective_s,
+        ):
+            self._refuse(call, Reason.DAEMON_STOPPING)
+            return
         choice = self._chooser.choose(
             call.service,
             now=now,
--- a/packages/dataplane/src/turmericrouter_dataplane/gate.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate.py
@@ -237,6 +237,10 @@
         frame = job.frame
         target = self._target
         assert target is not None
+        if not self._may_send(job):
+            self._connections.give_back(connection)
+            self._refuse(job, Reason.DAEMON_STOPPING)
+            return
         expires_at = self.stop_guard.limit(job.expires_at)
         remaining_ms = int((expires_at - self._timers.now()) * 1000)
         if remaining_ms <= 0:
@@ -415,7 +419,17 @@
             job = self._queue.pop()
             if job is None:
                 return
-            self._start(job)
+            if self._may_send(job):
+                self._start(job)
+            else:
+                self._refuse(job, Reason.DAEMON_STOPPING)
+
+    def _may_send(self, job: GateJob) -> bool:
+        return self.stop_guard.may_send(
+            self._timers.now(),
+            expires_at=job.expires_at,
+            service_time_s=_service_time_s(job),
+        )
 
 
 def _service_time_s(job: GateJob) -> float:
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/planned_stop.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/planned_stop.py
@@ -99,6 +99,25 @@
         self._refused += not is_taken
         return is_taken
 
+    def may_send(
+        self, now: float, *, expires_at: float, service_time_s: float
+    ) -> bool:
+        """Return whether a taken request is sent, and count it if not.
+
+        It may have waited since it was taken.
+
+        Args:
+            now: Monotonic seconds.
+            expires_at: When its answer is due, in monotonic seconds.
+            service_time_s: Time that serving it takes at most, usually.
+        """
+        return self.takes(
+            now,
+            is_local=True,
+            expires_at=expires_at,
+            service_time_s=service_time_s,
+        )
+
     def limit(self, expires_at: float) -> float:
         """Return when a target has to answer, in monotonic seconds.
 
--- a/tests/dataplane/test_gate.py
+++ b/tests/dataplane/test_gate.py
@@ -224,3 +224,59 @@
         server.close()
 
     asyncio.run(work())
+
+
+def test_request_that_waits_for_a_slot_is_not_sent_after_the_end() -> None:
+    """Guards against a queue that is served while connections close."""
+
+    async def work() -> None:
+        gate = make_gate()
+        outcomes: list[Outcome] = []
+        first = gate.submit(make_dispatch(1), outcomes.append)
+        gate.submit(make_dispatch(2), outcomes.append)
+        gate.stop_guard.close()
+        gate.cancel(first)
+        assert [(o.correlation, o.verdict, o.reason) for o in outcomes] == [
+            (2, Verdict.NOT_RUN, Reason.DAEMON_STOPPING)
+        ]
+        assert gate.is_idle
+
+    asyncio.run(work())
+
+
+def test_request_is_not_sent_on_a_connection_that_opens_after_the_end() -> (
+    None
+):
+    """Guards against a request that is sent to be cut at once."""
+
+    async def work() -> None:
+        received: list[bytes] = []
+
+        async def answer(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            received.append(await reader.read(100))
+            writer.close()
+
+        server = await asyncio.start_server(answer, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        gate = make_gate()
+        address = Address('127.0.0.1', port)
+        gate.set_target(
+            LocalTarget('t-1', 'design', address, 4, TargetState.SERVING)
+        )
+        outcomes: list[Outcome] = []
+        gate.submit(make_dispatch(0), outcomes.append)
+        gate.stop_guard.close()
+        async with asyncio.timeout(5.0):
+            while not outcomes:
+                await asyncio.sleep(0.01)
+        assert [(o.verdict, o.reason) for o in outcomes] == [
+            (Verdict.NOT_RUN, Reason.DAEMON_STOPPING)
+        ]
+        gate.stop()
+        await asyncio.sleep(0.05)
+        assert received == [b'']
+        server.close()
+
+    asyncio.run(work())
--- a/tests/dataplane/test_planned_stop.py
+++ b/tests/dataplane/test_planned_stop.py
@@ -69,6 +69,25 @@
     assert guard.refused == (not is_taken)
 
 
+def test_taken_request_is_not_sent_once_it_has_waited_too_long() -> None:
+    """Guards against a request that is sent after the end of a stop."""
+    guard, times = make_guard()
+
+    def may_send(left_s: float) -> bool:
+        return guard.may_send(
+            times.answers_due_at - left_s,
+            expires_at=times.ends_at + 1.0,
+            service_time_s=1.0,
+        )
+
+    guard.end_notice()
+    assert may_send(1.1)
+    assert not may_send(0.9)
+    guard.close()
+    assert not may_send(1.1)
+    assert guard.refused == 2
+
+
 def test_only_local_requests_are_taken_after_the_notice() -> None:
     guard, times = make_guard()
     now = times.notice_ends_at
