Answer what is still in flight when a stop ends

Cause: a request that outlasts the stop was left as it was when connections closed. Its caller saw a closed connection if this host's target had it; otherwise the loss of the link to the peer gave it a 502, while the process ended. Peers saw a lost link, which says "may have run" also of a request that only waited for a slot. The log said only how many were in flight. Ruled out: giving such a request a shorter limit. It was sent before the signal, with the limit that its target keeps to. Conclusion: callers get 503 if no target has seen the request, else 502; peers get the same as an outcome. `stopped` counts what was refused and cut, with the age of the oldest, and `turmeric_requests_cut_total` is new.

--- a/packages/dataplane/src/turmericrouter_dataplane/dispatcher.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/dispatcher.py
@@ -24,6 +24,7 @@
 from turmericrouter_dataplane.policy import retry_after
 from turmericrouter_dataplane.policy.crash_records import CrashRecords
 from turmericrouter_dataplane.policy.downstream_load import DownstreamLoad
+from turmericrouter_dataplane.policy.planned_stop import CutRequests
 from turmericrouter_dataplane.policy.planned_stop import StopGuard
 from turmericrouter_dataplane.policy.retry_budget import RetryBudget
 from turmericrouter_dataplane.policy.route_table import RouteTable
@@ -105,14 +106,13 @@
         self._refusals = Refusals(log, metrics, rng)
         self._factory = CallFactory(headers, service, parent_request_id)
         self._table: RouteTable | None = None
-        self._begun = 0
-        self._awaiting_tokens = 0
+        self._calls: set[Call] = set()
         self.stop_guard = StopGuard()
 
     @property
     def in_flight(self) -> int:
         """Return the number of requests that were taken and have no answer."""
-        return self._begun + self._awaiting_tokens
+        return len(self._calls)
 
     def set_service(self, service: str) -> None:
         """Set the service that requests of this host come from."""
@@ -155,6 +155,7 @@
         )
         if self._is_refused(call):
             return
+        self._calls.add(call)
         if workspace is None:
             self._begin(call)
         else:
@@ -164,13 +165,11 @@
         """Start a request once its workspace has granted a token."""
 
         def resume(is_admitted: bool, wait_s: float) -> None:
-            self._awaiting_tokens -= 1
             if is_admitted:
                 self._begin(call)
             else:
                 self._refuse_quota(call, wait_s)
 
-        self._awaiting_tokens += 1
         self._exchange.take(workspace.name, resume)
 
     def abandon(self, request: HttpRequest) -> None:
@@ -182,13 +181,25 @@
         if not isinstance(call, Call) or call.is_done:
             return
         self._metrics.count('requests_abandoned')
-        if not call.attempt:
-            # The request is still waiting for a token.
-            call.is_done = True
-            return
         self._abandon_attempt(call)
         self._close(call)
 
+    def answer_all(self) -> CutRequests:
+        """Answer the requests that have no answer when a stop ends.
+
+        The status tells callers whether a target may have seen the request.
+
+        Returns:
+            The requests that were answered.
+        """
+        calls = list(self._calls)
+        for call in calls:
+            self._give_up(call, Reason.DAEMON_STOPPING)
+        self._metrics.count('requests_cut', len(calls))
+        return CutRequests.of(
+            [call.arrived_at for call in calls], self._timers.now()
+        )
+
     def _is_refused(self, call: Call) -> bool:
         """Refuse poison requests, and those that find no capacity here."""
         now = call.arrived_at
@@ -224,7 +235,6 @@
     def _refuse_quota(self, call: Call, wait_s: float) -> None:
         if call.is_done:
             return
-        call.is_done = True
         objective_s = call.route.latency_objective_s
         self._refusals.refuse_early(
             call.request,
@@ -236,6 +246,7 @@
             workspace=call.workspace,
             **self._quota.describe(call.workspace),
         )
+        self._close(call)
 
     def _begin(self, call: Call) -> None:
         if call.is_done:
@@ -243,10 +254,10 @@
         table = self._table
         assert table is not None
         call.service = table.pick_service(call.route)
-        self._begun += 1
         self._budget.record_first_attempt(call.service)
         call.deadline = self._timers.at(
-            call.expires_at + _ANSWER_GRACE_S, lambda: self._expire(call)
+            call.expires_at + _ANSWER_GRACE_S,
+            lambda: self._give_up(call, Reason.DEADLINE_EXPIRED),
         )
         self._attempt(call)
 
@@ -411,13 +422,14 @@
         self._refusals.refuse(call, reason, self._timers.now())
         self._close(call)
 
-    def _expire(self, call: Call) -> None:
+    def _give_up(self, call: Call, reason: Reason) -> None:
+        """Answer a request that has no outcome yet."""
         if call.is_done:
             return
         if call.link is not None or (call.job and call.job.has_started):
             call.may_have_run = True
         self._abandon_attempt(call)
-        self._refuse(call, Reason.DEADLINE_EXPIRED)
+        self._refuse(call, reason)
 
     def _abandon_attempt(self, call: Call) -> None:
         """Cancel the current attempt."""
@@ -441,4 +453,4 @@
         call.request.context = None
         if call.deadline is not None:
             call.deadline.cancel()
-        self._begun -= 1
+        self._calls.discard(call)
--- a/packages/dataplane/src/turmericrouter_dataplane/drain.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/drain.py
@@ -60,7 +60,8 @@
 
         What is sent to a target meanwhile has a time limit within the stop,
         and what is too late for that is refused. All new requests are refused
-        before the last ones have their answers. Peers keep their links until
+        before the last ones have their answers; those that have none at the
+        end are told whether they may have run. Peers keep their links until
         this returns.
 
         Args:
@@ -86,13 +87,21 @@
         for guard in guards:
             guard.close()
         self._callers.stop_listening()
+        # Callers come first, so that the gate counts only other requests.
+        cut = self._dispatcher.answer_all()
+        peers_cut = self._gate.answer_all()
         self._callers.close_idle(0.0)
         await asyncio.sleep(_LINGER_S)
         self._callers.close_idle(0.0)
         self._log.event(
             'stopped',
             after_s=round(self._timers.now() - times.started_at, 2),
-            in_flight=self._dispatcher.in_flight,
+            refused=self._dispatcher.stop_guard.refused,
+            gate_refused=self._gate.stop_guard.refused,
+            cut=cut.count,
+            oldest_cut_s=cut.oldest_s,
+            gate_cut=peers_cut.count,
+            oldest_gate_cut_s=peers_cut.oldest_s,
         )
 
     async def _sleep_until(self, time_s: float) -> None:
--- a/packages/dataplane/src/turmericrouter_dataplane/gate.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate.py
@@ -17,6 +17,7 @@
 from turmericrouter_dataplane.http_client import HttpResponse
 from turmericrouter_dataplane.local_target import LocalTarget
 from turmericrouter_dataplane.policy.gate_queue import GateQueue
+from turmericrouter_dataplane.policy.planned_stop import CutRequests
 from turmericrouter_dataplane.policy.planned_stop import StopGuard
 from turmericrouter_dataplane.policy.target_chooser import TargetState
 from turmericrouter_dataplane.target_connections import TargetConnections
@@ -59,8 +60,8 @@
         self._is_reachable = True
         self._queue: GateQueue[GateJob] = GateQueue(64)
         self._jobs: dict[bytes, GateJob] = {}
-        # Requests may share an id or have none, so they are counted too.
-        self._open_count = 0
+        # Requests may share an id or have none, so that the ids miss some.
+        self._open: set[GateJob] = set()
         self._running = 0
         self._connections = TargetConnections(headers)
         self._limit = 0
@@ -102,7 +103,7 @@
     @property
     def is_idle(self) -> bool:
         """Return whether no request is at the gate."""
-        return not self._open_count
+        return not self._open
 
     def set_target(self, target: LocalTarget) -> None:
         """Apply an announcement of the target."""
@@ -121,7 +122,7 @@
         """Run a request at once or when a slot is free."""
         job = GateJob(frame, reply, self._timers.now())
         self._jobs[frame.request_id] = job
-        self._open_count += 1
+        self._open.add(job)
         job.peak_load = self.load
         target = self._target
         if not self.stop_guard.takes(
@@ -157,6 +158,31 @@
             self._queue.remove(job.frame.rank, job)
         self._release(job)
 
+    def answer_all(self) -> CutRequests:
+        """Answer the requests that have no answer when a stop ends.
+
+        A peer sends those that only waited to another host.
+
+        Returns:
+            The requests that were answered.
+        """
+        jobs = list(self._open)
+        for job in self._queue.clear():
+            self._refuse(job, Reason.DAEMON_STOPPING)
+        for job in jobs:
+            if job.has_started:
+                self._reply(
+                    job,
+                    Verdict.MAY_HAVE_RUN,
+                    Reason.DAEMON_STOPPING,
+                    sent=True,
+                )
+            elif not job.is_done:
+                self._refuse(job, Reason.DAEMON_STOPPING)
+        return CutRequests.of(
+            [job.received_at for job in jobs], self._timers.now()
+        )
+
     def prune(self) -> None:
         """Close connections that have been idle for long."""
         self._connections.prune()
@@ -400,7 +426,7 @@
     def _release(self, job: GateJob) -> None:
         """Release the resources of a request, and start the next one."""
         phase, job.phase = job.phase, Phase.DONE
-        self._open_count -= 1
+        self._open.discard(job)
         if self._jobs.get(job.frame.request_id) is job:
             del self._jobs[job.frame.request_id]
         if job.deadline is not None:
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/planned_stop.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/planned_stop.py
@@ -1,5 +1,6 @@
 """Decides which requests are still sent to a target during a planned stop."""
 
+from collections.abc import Collection
 import dataclasses
 import math
 from typing import Self
@@ -48,6 +49,30 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CutRequests:
+    """Requests that had no answer when a stop ended.
+
+    Args:
+        count: Number of requests.
+        oldest_s: Age of the oldest one, 0 if there is none.
+    """
+
+    count: int
+    oldest_s: float
+
+    @classmethod
+    def of(cls, arrived_at: Collection[float], now: float) -> Self:
+        """Summarize requests.
+
+        Args:
+            arrived_at: When each request arrived, in monotonic seconds.
+            now: Monotonic seconds.
+        """
+        oldest_s = now - min(arrived_at, default=now)
+        return cls(len(arrived_at), round(oldest_s, 2))
+
+
 class StopGuard:
     """Decides which requests are taken and sent; without a stop, all are."""
 
--- a/tests/dataplane/test_dispatcher.py
+++ b/tests/dataplane/test_dispatcher.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 import random
 
 from dataplane_values import make_config
@@ -32,6 +33,10 @@
     b'Authorization: Bearer key-1\r\nContent-Length: 0\r\n\r\n'
 )
 
+_ROUTE = dataclasses.replace(
+    make_route(is_idempotent=False), timeout_s=9.0, latency_objective_s=4.0
+)
+
 
 class _SlowExchange(TokenExchange):
     """Keeps requests waiting for tokens until the test grants them."""
@@ -80,7 +85,7 @@
         )
         self.dispatcher.set_config(
             make_config(
-                make_route(is_idempotent=False),
+                _ROUTE,
                 workspaces=(make_workspace(),),
             )
         )
@@ -96,11 +101,17 @@
         assert server._server is not None
         self._port = server._server.sockets[0].getsockname()[1]
 
-    async def send(self) -> 'asyncio.Task[bytes]':
-        """Send a request; return a task that reads its answer."""
+    async def send(self, *, stays: bool = True) -> 'asyncio.Task[bytes]':
+        """Send a request; return a task that reads its answer.
+
+        Args:
+            stays: Whether the caller stays connected.
+        """
         reader, writer = await asyncio.open_connection('127.0.0.1', self._port)
         writer.write(_REQUEST)
         await asyncio.sleep(0.1)
+        if not stays:
+            writer.close()
 
         async def read() -> bytes:
             async with asyncio.timeout(0.5):
@@ -143,3 +154,39 @@
         assert fixture.dispatcher.in_flight == 0
 
     play(scenario)
+
+
+def test_end_of_a_stop_tells_callers_which_requests_have_not_run() -> None:
+    """Guards against a connection that closes without an answer."""
+
+    async def scenario(fixture: _Fixture) -> None:
+        running = await fixture.send()
+        waiting = await fixture.send()
+        fixture.exchange.is_slow = True
+        without_token = await fixture.send()
+        dispatcher = fixture.dispatcher
+        assert dispatcher.in_flight == 3
+        dispatcher.stop_guard.close()
+        assert dispatcher.answer_all().count == 3
+        assert (await running).startswith(b'HTTP/1.1 502 ')
+        assert (await waiting).startswith(b'HTTP/1.1 503 ')
+        assert (await without_token).startswith(b'HTTP/1.1 503 ')
+        fixture.exchange.waiting[0](True, 0.0)
+        await asyncio.sleep(0.05)
+        assert fixture.requests_at_target == 1
+        assert dispatcher.in_flight == 0
+
+    play(scenario)
+
+
+def test_request_whose_caller_left_does_not_hold_up_a_stop() -> None:
+    async def scenario(fixture: _Fixture) -> None:
+        fixture.exchange.is_slow = True
+        answer = await fixture.send(stays=False)
+        answer.cancel()
+        await asyncio.sleep(0.05)
+        assert fixture.dispatcher.in_flight == 0
+        fixture.exchange.waiting[0](True, 0.0)
+        assert fixture.dispatcher.in_flight == 0
+
+    play(scenario)
--- a/tests/dataplane/test_gate.py
+++ b/tests/dataplane/test_gate.py
@@ -280,3 +280,63 @@
         server.close()
 
     asyncio.run(work())
+
+
+def test_end_of_a_stop_tells_peers_which_requests_have_not_run() -> None:
+    """Guards against a lost link as the only answer.
+
+    The peer would take a request that only waited for one that may have run.
+    """
+
+    async def work() -> None:
+        connected = asyncio.Event()
+
+        async def hold(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            connected.set()
+            await reader.read(-1)
+            writer.close()
+
+        server = await asyncio.start_server(hold, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        gate = make_gate()
+        address = Address('127.0.0.1', port)
+        gate.set_target(
+            LocalTarget('t-1', 'design', address, 1, TargetState.SERVING)
+        )
+        outcomes: list[Outcome] = []
+        running = gate.submit(
+            make_dispatch(1, is_idempotent=False), outcomes.append
+        )
+        gate.submit(make_dispatch(2), outcomes.append)
+        await connected.wait()
+        async with asyncio.timeout(5.0):
+            while not running.has_started:
+                await asyncio.sleep(0.01)
+        gate.stop_guard.close()
+        cut = gate.answer_all()
+        assert {o.correlation: (o.verdict, o.reason) for o in outcomes} == {
+            1: (Verdict.MAY_HAVE_RUN, Reason.DAEMON_STOPPING),
+            2: (Verdict.NOT_RUN, Reason.DAEMON_STOPPING),
+        }
+        assert cut.count == 2 and 0.0 <= cut.oldest_s < 5.0
+        assert gate.is_idle
+        gate.stop()
+        server.close()
+        await asyncio.sleep(0.05)
+
+    asyncio.run(work())
+
+
+def test_end_of_a_stop_leaves_no_request_that_still_connects() -> None:
+    async def work() -> None:
+        gate = make_gate()
+        outcomes: list[Outcome] = []
+        gate.submit(make_dispatch(1), outcomes.append)
+        gate.stop_guard.close()
+        assert gate.answer_all().count == 1
+        assert [o.verdict for o in outcomes] == [Verdict.NOT_RUN]
+        assert gate.is_idle
+
+    asyncio.run(work())
--- a/tests/platform/test_late_requests.py
+++ b/tests/platform/test_late_requests.py
@@ -89,10 +89,21 @@
 
 
 def _stop_with(
-    folder: pathlib.Path, requests: list[_Late], grace_s: float = 6.0
+    folder: pathlib.Path,
+    requests: list[_Late],
+    *,
+    grace_s: float = 6.0,
+    running: str = '/book/work-12000',
 ) -> tuple[dict[str, int], collections.Counter[str], Host]:
     """Stop the host of the callers while it gets requests.
 
+    Args:
+        folder: Where settings and output are kept.
+        requests: What is sent after the signal.
+        grace_s: Time until the daemon is killed.
+        running: Path of a request that is sent before the signal, with the
+            id `before`.
+
     Returns:
         Status by request id, runs by request id, and the stopped host.
     """
@@ -105,8 +116,8 @@
         stopped.append(entry)
         fleet.publish(_make_config())
         await fleet.wait_for_status(entry, '/call/warm', key=None)
-        running = asyncio.create_task(
-            _send(entry, _Late('before', '/book/work-12000', 0.0))
+        before = asyncio.create_task(
+            _send(entry, _Late('before', running, 0.0))
         )
         await asyncio.sleep(0.3)
         entry.send_signal(signal.SIGTERM)
@@ -115,7 +126,7 @@
             assert await entry.wait_for_exit() == 0
         for each, task in zip(requests, tasks, strict=True):
             statuses[each.request_id] = await task
-        statuses['before'] = await running
+        statuses['before'] = await before
         for host in (entry, other):
             runs.update(run.request_id for run in host.upstream.runs)
 
@@ -173,3 +184,17 @@
     for each in late:
         assert statuses[each.request_id] == 503
         assert not runs[each.request_id]
+
+
+@pytest.mark.parametrize('route', ['open', 'book', 'near'])
+def test_request_that_outlasts_the_stop_is_told_that_it_may_have_run(
+    tmp_path: pathlib.Path, route: str
+) -> None:
+    """Guards against a connection that closes without an answer."""
+    statuses, runs, host = _stop_with(
+        tmp_path, [], running=f'/{route}/work-12000'
+    )
+    assert statuses == {'before': 502}
+    assert runs['before'] == 1
+    (line,) = host.log_lines('stopped')
+    assert ' cut=1 oldest_cut_s=5.' in line
