Keep a part of a short grace for closing, not a whole second

Cause: a stop ended 1 s before the kill, whatever the grace time was. With one of 1.2 s it ended 0.2 s after the signal and cut what was in flight; below 1 s it ended at once. The notice could take all of the time for serving. Ruled out: the time that closing takes. It is 0.12 s, within a sixth of 1.2 s. Before and after: tests/platform/test_late_requests.py -k short failed on the code before with "assert {'before': 502} == {'before': 200}" for the target of this host and of a peer. All pass now, with the unit tests. Conclusion: a sixth of the grace time, at most 1 s, is kept for closing, and margin, notice and linger follow from it. With 6 s all stay as they were.

--- a/packages/dataplane/src/turmericrouter_dataplane/drain.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/drain.py
@@ -11,8 +11,6 @@
 from turmericrouter_dataplane.timers import TimerService
 
 _IDLE_CHECK_PERIOD_S = 0.05
-# Requests that cross the end of the service are still refused for this time.
-_LINGER_S = 0.1
 
 
 class Peers(Protocol):
@@ -91,7 +89,7 @@
         cut = self._dispatcher.answer_all()
         peers_cut = self._gate.answer_all()
         self._callers.close_idle(0.0)
-        await asyncio.sleep(_LINGER_S)
+        await asyncio.sleep(times.linger_s)
         self._callers.close_idle(0.0)
         self._log.event(
             'stopped',
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/planned_stop.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/planned_stop.py
@@ -9,11 +9,20 @@
 
 # Callers are routed to the daemon until two readiness checks have failed.
 _NOTICE_S = 2.6
-# Time kept for closing connections before the process is killed.
+# Largest part of the time for answers that is spent on the notice, so that the
+# last requests that are taken can be served.
+_NOTICE_FRACTION = 0.6
+# Time kept for closing connections before the process is killed, and its part
+# of a short stop.
 _CLOSE_MARGIN_S = 1.0
+_CLOSE_FRACTION = 1 / 6
 # A target answers at the time limit that it gets. The answer then has this
-# time to pass through the gate and the link before connections are closed.
-_ANSWER_MARGIN_S = 0.25
+# part of the time for closing to pass through the gate and the link.
+_ANSWER_FRACTION = 0.25
+# Requests that cross the end of the service are still refused for this time,
+# in a short stop for a part of the time for closing.
+_LINGER_S = 0.1
+_LINGER_FRACTION = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -25,12 +34,14 @@
         notice_ends_at: Callers and peers have noticed.
         answers_due_at: Targets have answered what they got after the start.
         ends_at: Connections are closed.
+        linger_s: Time for which requests are still refused then, in seconds.
     """
 
     started_at: float
     notice_ends_at: float
     answers_due_at: float
     ends_at: float
+    linger_s: float
 
     @classmethod
     def plan(cls, started_at: float, stop_within_s: float) -> Self:
@@ -40,12 +51,16 @@
             started_at: Monotonic seconds.
             stop_within_s: Time until the process must have ended.
         """
-        ends_at = started_at + stop_within_s - _CLOSE_MARGIN_S
+        close_s = min(_CLOSE_MARGIN_S, stop_within_s * _CLOSE_FRACTION)
+        serve_s = stop_within_s - close_s
+        answer_s = serve_s - close_s * _ANSWER_FRACTION
+        notice_s = min(_NOTICE_S, answer_s * _NOTICE_FRACTION)
         return cls(
             started_at=started_at,
-            notice_ends_at=min(started_at + _NOTICE_S, ends_at),
-            answers_due_at=ends_at - _ANSWER_MARGIN_S,
-            ends_at=ends_at,
+            notice_ends_at=started_at + notice_s,
+            answers_due_at=started_at + answer_s,
+            ends_at=started_at + serve_s,
+            linger_s=min(_LINGER_S, close_s * _LINGER_FRACTION),
         )
 
 
--- a/tests/dataplane/test_planned_stop.py
+++ b/tests/dataplane/test_planned_stop.py
@@ -39,7 +39,25 @@
 
 def test_stop_ends_before_the_process_is_killed() -> None:
     times = StopTimes.plan(100.0, 6.0)
-    assert times == StopTimes(100.0, 102.6, 104.75, 105.0)
+    assert times == StopTimes(100.0, 102.6, 104.75, 105.0, 0.1)
+
+
+@pytest.mark.parametrize('stop_within_s', [0.1, 0.5, 1.0, 2.0, 4.0, 60.0])
+def test_times_follow_each_other_in_a_stop_of_any_length(
+    stop_within_s: float,
+) -> None:
+    """Guards against a short stop that ends before it has begun."""
+    times = StopTimes.plan(0.0, stop_within_s)
+    assert (
+        0.0
+        < times.notice_ends_at
+        < times.answers_due_at
+        < times.ends_at
+        < times.ends_at + times.linger_s
+        < stop_within_s
+    )
+    assert times.ends_at >= stop_within_s * 5 / 6
+    assert times.notice_ends_at <= 2.6
 
 
 def test_limit_ends_before_connections_close() -> None:
--- a/tests/platform/test_late_requests.py
+++ b/tests/platform/test_late_requests.py
@@ -198,3 +198,31 @@
     assert runs['before'] == 1
     (line,) = host.log_lines('stopped')
     assert ' cut=1 oldest_cut_s=5.' in line
+
+
+@pytest.mark.parametrize('route', ['book', 'near'])
+def test_short_grace_gives_requests_most_of_its_time(
+    tmp_path: pathlib.Path, route: str
+) -> None:
+    """Guards against a stop that ends at once since its grace is short."""
+    statuses, runs, _ = _stop_with(
+        tmp_path, [], grace_s=1.2, running=f'/{route}/work-900'
+    )
+    assert statuses == {'before': 200}
+    assert runs['before'] == 1
+
+
+def test_short_grace_leaves_time_for_the_last_answers(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a stop that takes callers' requests until its end."""
+    late = [
+        _Late(f'r-{number}', '/book/work-8000', number / 10)
+        for number in range(12)
+    ]
+    statuses, runs, _ = _stop_with(tmp_path, late, grace_s=2.4)
+    assert statuses['r-0'] == 504
+    for each in late:
+        status = statuses[each.request_id]
+        assert status in (504, 503)
+        assert runs[each.request_id] == (status == 504)
