Merge the work on requests cut by a planned stop

The time in which slow callers and peers may read their answers becomes a part of the planned times, so that it shrinks with a short grace time as well. Its test takes the margin from there.

--- a/packages/dataplane/src/turmericrouter_dataplane/dispatcher.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/dispatcher.py
@@ -3,35 +3,34 @@
 from collections.abc import Callable
 import random
 
-import xxhash
-
 from turmericrouter_core.verdict import Reason
 from turmericrouter_core.verdict import Verdict
 from turmericrouter_dataplane.call import Call
+from turmericrouter_dataplane.call_factory import AUTHORIZATION
+from turmericrouter_dataplane.call_factory import CallFactory
+from turmericrouter_dataplane.call_factory import find_workspace
 from turmericrouter_dataplane.decision_log import DecisionLog
 from turmericrouter_dataplane.decision_log import REFUSAL_LINES_PER_S
 from turmericrouter_dataplane.decision_log import ROUTINE_LINES_PER_S
 from turmericrouter_dataplane.fleet_config import FleetConfig
-from turmericrouter_dataplane.fleet_config import Route
 from turmericrouter_dataplane.fleet_config import Workspace
 from turmericrouter_dataplane.frames import Dispatch
 from turmericrouter_dataplane.frames import Outcome
 from turmericrouter_dataplane.gate import Gate
 from turmericrouter_dataplane.header_names import HeaderNames
 from turmericrouter_dataplane.http_server import HttpRequest
-from turmericrouter_dataplane.intake import Intake
 from turmericrouter_dataplane.links import Link
 from turmericrouter_dataplane.metrics import Metrics
 from turmericrouter_dataplane.policy import retry_after
 from turmericrouter_dataplane.policy.crash_records import CrashRecords
 from turmericrouter_dataplane.policy.downstream_load import DownstreamLoad
-from turmericrouter_dataplane.policy.gate_queue import RANK_COUNT
+from turmericrouter_dataplane.policy.planned_stop import CutRequests
+from turmericrouter_dataplane.policy.planned_stop import StopGuard
 from turmericrouter_dataplane.policy.retry_budget import RetryBudget
 from turmericrouter_dataplane.policy.route_table import RouteTable
 from turmericrouter_dataplane.policy.target_chooser import TargetChooser
 from turmericrouter_dataplane.policy.workspace_quota import WorkspaceQuota
 from turmericrouter_dataplane.refusals import Refusals
-from turmericrouter_dataplane.request_head import RequestHeads
 from turmericrouter_dataplane.timers import TimerService
 from turmericrouter_dataplane.token_exchange import TokenExchange
 
@@ -45,9 +44,6 @@
 # Hosts that are tried for one request; the attempts of a route count only
 # those that sent it to their target.
 _MAX_HOSTS_TRIED = 4
-_PRIORITY_LEVELS = 4
-_AUTHORIZATION = b'authorization'
-_BEARER = b'bearer '
 LinkLookup = Callable[[str], Link | None]
 
 
@@ -66,8 +62,8 @@
         crash_records: Records of poison requests, which crash targets.
         downstream_load: Estimated load behind routes.
         exchange: Gets tokens of workspaces.
-        parent_of: Returns the id of the request that makes a nested call,
-            empty if the id of the call does not contain it.
+        parent_request_id: Returns the id of the request that makes a nested
+            call, empty if the id of the call does not contain it.
         timers: Timer service.
         log: Decision log.
         metrics: Counters.
@@ -103,29 +99,24 @@
         self._crash_records = crash_records
         self._downstream_load = downstream_load
         self._exchange = exchange
-        self._parent_of = parent_request_id
         self._timers = timers
         self._log = log
         self._metrics = metrics
         self._rng = rng
         self._refusals = Refusals(log, metrics, rng)
-        self._names = headers
-        self._id_name = headers.request_id.lower()
-        self._deadline_name = headers.deadline_ms.lower()
-        self._heads = RequestHeads(headers, service)
+        self._factory = CallFactory(headers, service, parent_request_id)
         self._table: RouteTable | None = None
-        self._begun = 0
-        self._awaiting_tokens = 0
-        self.intake = Intake.OPEN
+        self._calls: set[Call] = set()
+        self.stop_guard = StopGuard()
 
     @property
     def in_flight(self) -> int:
         """Return the number of requests that were taken and have no answer."""
-        return self._begun + self._awaiting_tokens
+        return len(self._calls)
 
     def set_service(self, service: str) -> None:
         """Set the service that requests of this host come from."""
-        self._heads = RequestHeads(self._names, service)
+        self._factory.set_service(service)
 
     def set_config(self, config: FleetConfig) -> None:
         """Put a configuration in force."""
@@ -140,15 +131,15 @@
             self._refusals.refuse_early(request, Reason.CONFIG_STALE)
             return
         values = {lower: value for lower, _, value in request.headers}
-        request_id = values.get(self._id_name, b'')
-        authorization = values.get(_AUTHORIZATION, b'')
+        request_id = self._factory.request_id(values)
         route = table.find(values.get(b'host', b''), request.target)
         if route is None:
             self._refusals.refuse_early(
                 request, Reason.ROUTE_UNKNOWN, request_id
             )
             return
-        workspace = self._workspace(table, authorization)
+        authorization = values.get(AUTHORIZATION, b'')
+        workspace = find_workspace(table, authorization)
         if (
             workspace is None
             and table.has_workspaces
@@ -159,16 +150,12 @@
             )
             self._refusals.refuse_early(request, reason, request_id)
             return
-        call = self._make_call(
-            request,
-            route,
-            workspace,
-            request_id,
-            values.get(self._deadline_name, b''),
-            self._timers.now(),
+        call = self._factory.make(
+            request, values, route, workspace, self._timers.now()
         )
         if self._is_refused(call):
             return
+        self._calls.add(call)
         if workspace is None:
             self._begin(call)
         else:
@@ -178,13 +165,11 @@
         """Start a request once its workspace has granted a token."""
 
         def resume(is_admitted: bool, wait_s: float) -> None:
-            self._awaiting_tokens -= 1
             if is_admitted:
                 self._begin(call)
             else:
                 self._refuse_quota(call, wait_s)
 
-        self._awaiting_tokens += 1
         self._exchange.take(workspace.name, resume)
 
     def abandon(self, request: HttpRequest) -> None:
@@ -196,17 +181,34 @@
         if not isinstance(call, Call) or call.is_done:
             return
         self._metrics.count('requests_abandoned')
-        if not call.attempt:
-            # The request is still waiting for a token.
-            call.is_done = True
-            return
         self._abandon_attempt(call)
         self._close(call)
 
+    def answer_all(self) -> CutRequests:
+        """Answer the requests that have no answer when a stop ends.
+
+        The status tells callers whether a target may have seen the request.
+
+        Returns:
+            The requests that were answered.
+        """
+        calls = list(self._calls)
+        for call in calls:
+            self._give_up(call, Reason.DAEMON_STOPPING)
+        self._metrics.count('requests_cut', len(calls))
+        return CutRequests.of(
+            [call.arrived_at for call in calls], self._timers.now()
+        )
+
     def _is_refused(self, call: Call) -> bool:
         """Refuse poison requests, and those that find no capacity here."""
         now = call.arrived_at
-        if not self.intake.takes(call.is_nested):
+        if not self.stop_guard.takes(
+            now,
+            is_local=call.is_nested,
+            expires_at=call.expires_at,
+            service_time_s=call.route.latency_objective_s,
+        ):
             self._refusals.refuse_early(
                 call.request, Reason.DAEMON_STOPPING, call.request_id
             )
@@ -233,7 +235,6 @@
     def _refuse_quota(self, call: Call, wait_s: float) -> None:
         if call.is_done:
             return
-        call.is_done = True
         objective_s = call.route.latency_objective_s
         self._refusals.refuse_early(
             call.request,
@@ -245,57 +246,7 @@
             workspace=call.workspace,
             **self._quota.describe(call.workspace),
         )
-
-    def _workspace(
-        self, table: RouteTable, authorization: bytes
-    ) -> Workspace | None:
-        if authorization[:7].lower() != _BEARER:
-            return None
-        return table.find_workspace(authorization[7:].strip())
-
-    def _make_call(
-        self,
-        request: HttpRequest,
-        route: Route,
-        workspace: Workspace | None,
-        request_id: bytes,
-        deadline: bytes,
-        now: float,
-    ) -> Call:
-        remaining_s = route.timeout_s
-        if deadline.isdigit():
-            remaining_s = min(remaining_s, int(deadline) / 1000)
-        call = Call(
-            request,
-            route,
-            workspace=workspace.name if workspace else '',
-            request_id=request_id,
-            arrived_at=now,
-            expires_at=now + remaining_s,
-        )
-        request.context = call
-        call.is_nested = workspace is None
-        if workspace is not None:
-            level = (
-                min(workspace.priority, _PRIORITY_LEVELS - 1)
-                * _PRIORITY_LEVELS
-            )
-            level += min(route.priority, _PRIORITY_LEVELS - 1)
-            call.rank = min(1 + level, RANK_COUNT - 1)
-        else:
-            call.parent = self._parent_of(request_id)
-        call.head = self._heads.build(request, call.workspace)
-        digest = xxhash.xxh3_64_intdigest(
-            b'%b %b %b %b'
-            % (
-                call.workspace.encode(),
-                request.method,
-                request.target,
-                request.body,
-            )
-        )
-        call.digest = digest & 0x7FFFFFFFFFFFFFFF
-        return call
+        self._close(call)
 
     def _begin(self, call: Call) -> None:
         if call.is_done:
@@ -303,15 +254,22 @@
         table = self._table
         assert table is not None
         call.service = table.pick_service(call.route)
-        self._begun += 1
         self._budget.record_first_attempt(call.service)
         call.deadline = self._timers.at(
-            call.expires_at + _ANSWER_GRACE_S, lambda: self._expire(call)
+            call.expires_at + _ANSWER_GRACE_S,
+            lambda: self._give_up(call, Reason.DEADLINE_EXPIRED),
         )
         self._attempt(call)
 
     def _attempt(self, call: Call) -> None:
         now = self._timers.now()
+        if not self.stop_guard.may_send(
+            now,
+            expires_at=call.expires_at,
+            service_time_s=call.route.latency_objective_s,
+        ):
+            self._refuse(call, Reason.DAEMON_STOPPING)
+            return
         choice = self._chooser.choose(
             call.service,
             now=now,
@@ -356,12 +314,13 @@
             _MAX_QUEUE_WAIT_S, route.latency_objective_s * fraction
         )
         max_queue_wait_s -= now - call.arrived_at
+        expires_at = self.stop_guard.limit(call.expires_at)
         return Dispatch(
             correlation,
             target_id,
             call.rank,
             route.is_idempotent,
-            max(1, int((call.expires_at - now) * 1000)),
+            max(1, int((expires_at - now) * 1000)),
             max(0, int(max_queue_wait_s * 1000)),
             call.head,
             call.request.body,
@@ -463,13 +422,14 @@
         self._refusals.refuse(call, reason, self._timers.now())
         self._close(call)
 
-    def _expire(self, call: Call) -> None:
+    def _give_up(self, call: Call, reason: Reason) -> None:
+        """Answer a request that has no outcome yet."""
         if call.is_done:
             return
         if call.link is not None or (call.job and call.job.has_started):
             call.may_have_run = True
         self._abandon_attempt(call)
-        self._refuse(call, Reason.DEADLINE_EXPIRED)
+        self._refuse(call, reason)
 
     def _abandon_attempt(self, call: Call) -> None:
         """Cancel the current attempt."""
@@ -493,4 +453,4 @@
         call.request.context = None
         if call.deadline is not None:
             call.deadline.cancel()
-        self._begun -= 1
+        self._calls.discard(call)
--- a/packages/dataplane/src/turmericrouter_dataplane/drain.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/drain.py
@@ -7,18 +7,10 @@
 from turmericrouter_dataplane.dispatcher import Dispatcher
 from turmericrouter_dataplane.gate import Gate
 from turmericrouter_dataplane.http_server import HttpServer
-from turmericrouter_dataplane.intake import Intake
+from turmericrouter_dataplane.policy.planned_stop import StopTimes
 from turmericrouter_dataplane.timers import TimerService
 
-# Callers are routed to the daemon until two readiness checks have failed.
-_NOTICE_S = 2.6
 _IDLE_CHECK_PERIOD_S = 0.05
-# Requests that cross the end of the service are still refused for this time.
-_LINGER_S = 0.1
-# Time kept for closing connections before the process is killed.
-_CLOSE_MARGIN_S = 1.0
-# The part of that time that is kept when callers and peers read slowly.
-_SEND_MARGIN_S = 0.4
 
 
 class Peers(Protocol):
@@ -75,39 +67,52 @@
     async def run(self, cause: str, stop_within_s: float) -> None:
         """Serve until callers and peers have noticed, then until idle.
 
-        New requests are refused from then on, before the last ones have
-        their answers. Peers keep their links until this returns.
+        What is sent to a target meanwhile has a time limit within the stop,
+        and what is too late for that is refused. All new requests are refused
+        before the last ones have their answers; those that have none at the
+        end are told whether they may have run. Peers keep their links until
+        this returns.
 
         Args:
             cause: Signal that stops the daemon, for the log.
             stop_within_s: Time until the process must have ended.
         """
-        started_at = self._timers.now()
+        times = StopTimes.plan(self._timers.now(), stop_within_s)
         self._log.event(
             'stopping', signal=cause, in_flight=self._dispatcher.in_flight
         )
         self._callers.is_leaving = True
+        guards = (self._dispatcher.stop_guard, self._gate.stop_guard)
+        for guard in guards:
+            guard.begin(times)
         self._peers.leave()
-        ends_at = started_at + stop_within_s - _CLOSE_MARGIN_S
-        await self._sleep_until(min(started_at + _NOTICE_S, ends_at))
-        # Requests that run at the target still need their nested calls.
-        self._dispatcher.intake = Intake.NESTED_ONLY
-        while self._timers.now() < ends_at:
+        await self._sleep_until(times.notice_ends_at)
+        for guard in guards:
+            guard.end_notice()
+        while self._timers.now() < times.ends_at:
             if self._is_idle:
                 break
             await asyncio.sleep(_IDLE_CHECK_PERIOD_S)
-        self._dispatcher.intake = Intake.CLOSED
-        self._gate.is_closed = True
+        for guard in guards:
+            guard.close()
         self._callers.stop_listening()
+        # Callers come first, so that the gate counts only other requests.
+        cut = self._dispatcher.answer_all()
+        peers_cut = self._gate.answer_all()
         self._callers.close_idle(0.0)
-        await asyncio.sleep(_LINGER_S)
+        await asyncio.sleep(times.linger_s)
         self._callers.refuse_unfinished()
-        await self._send_answers(started_at + stop_within_s - _SEND_MARGIN_S)
+        await self._send_answers(times.sent_by)
         self._callers.close_idle(0.0)
         self._log.event(
             'stopped',
-            after_s=round(self._timers.now() - started_at, 2),
-            in_flight=self._dispatcher.in_flight,
+            after_s=round(self._timers.now() - times.started_at, 2),
+            refused=self._dispatcher.stop_guard.refused,
+            gate_refused=self._gate.stop_guard.refused,
+            cut=cut.count,
+            oldest_cut_s=cut.oldest_s,
+            gate_cut=peers_cut.count,
+            oldest_gate_cut_s=peers_cut.oldest_s,
         )
 
     async def _send_answers(self, until_s: float) -> None:
--- a/packages/dataplane/src/turmericrouter_dataplane/gate.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate.py
@@ -17,6 +17,8 @@
 from turmericrouter_dataplane.http_client import HttpResponse
 from turmericrouter_dataplane.local_target import LocalTarget
 from turmericrouter_dataplane.policy.gate_queue import GateQueue
+from turmericrouter_dataplane.policy.planned_stop import CutRequests
+from turmericrouter_dataplane.policy.planned_stop import StopGuard
 from turmericrouter_dataplane.policy.target_chooser import TargetState
 from turmericrouter_dataplane.target_connections import TargetConnections
 from turmericrouter_dataplane.timers import TimerService
@@ -25,6 +27,9 @@
 # are taken.
 _LIMIT_FRACTION = 0.94
 _EXPIRY_GRACE_S = 0.15
+# A request of a peer that a stopping daemon cannot give this time is refused;
+# the peer, which knows the latency objective, sends it to another host.
+_MIN_SERVICE_TIME_S = 0.5
 # Statuses from which callers conclude that a request has not run.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -55,13 +60,12 @@
         self._is_reachable = True
         self._queue: GateQueue[GateJob] = GateQueue(64)
         self._jobs: dict[bytes, GateJob] = {}
-        # Requests may share an id or have none, so they are counted too.
-        self._open_count = 0
+        # Requests may share an id or have none, so that the ids miss some.
+        self._open: set[GateJob] = set()
         self._running = 0
         self._connections = TargetConnections(headers)
         self._limit = 0
-        # Whether new requests are refused because the daemon stops.
-        self.is_closed = False
+        self.stop_guard = StopGuard()
         self._signature = headers.signature.lower()
         self._not_run = headers.not_run.lower()
 
@@ -99,7 +103,7 @@
     @property
     def is_idle(self) -> bool:
         """Return whether no request is at the gate."""
-        return not self._open_count
+        return not self._open
 
     def set_target(self, target: LocalTarget) -> None:
         """Apply an announcement of the target."""
@@ -118,10 +122,15 @@
         """Run a request at once or when a slot is free."""
         job = GateJob(frame, reply, self._timers.now())
         self._jobs[frame.request_id] = job
-        self._open_count += 1
+        self._open.add(job)
         job.peak_load = self.load
         target = self._target
-        if self.is_closed:
+        if not self.stop_guard.takes(
+            job.received_at,
+            is_local=job.is_local,
+            expires_at=job.expires_at,
+            service_time_s=_service_time_s(job),
+        ):
             self._refuse(job, Reason.DAEMON_STOPPING)
         elif target is None or not self._is_reachable:
             self._refuse(job, Reason.TARGET_UNREACHABLE)
@@ -149,6 +158,31 @@
             self._queue.remove(job.frame.rank, job)
         self._release(job)
 
+    def answer_all(self) -> CutRequests:
+        """Answer the requests that have no answer when a stop ends.
+
+        A peer sends those that only waited to another host.
+
+        Returns:
+            The requests that were answered.
+        """
+        jobs = list(self._open)
+        for job in self._queue.clear():
+            self._refuse(job, Reason.DAEMON_STOPPING)
+        for job in jobs:
+            if job.has_started:
+                self._reply(
+                    job,
+                    Verdict.MAY_HAVE_RUN,
+                    Reason.DAEMON_STOPPING,
+                    sent=True,
+                )
+            elif not job.is_done:
+                self._refuse(job, Reason.DAEMON_STOPPING)
+        return CutRequests.of(
+            [job.received_at for job in jobs], self._timers.now()
+        )
+
     def prune(self) -> None:
         """Close connections that have been idle for long."""
         self._connections.prune()
@@ -229,7 +263,12 @@
         frame = job.frame
         target = self._target
         assert target is not None
-        remaining_ms = int((job.expires_at - self._timers.now()) * 1000)
+        if not self._may_send(job):
+            self._connections.give_back(connection)
+            self._refuse(job, Reason.DAEMON_STOPPING)
+            return
+        expires_at = self.stop_guard.limit(job.expires_at)
+        remaining_ms = int((expires_at - self._timers.now()) * 1000)
         if remaining_ms <= 0:
             self._connections.give_back(connection)
             self._refuse(job, Reason.DEADLINE_EXPIRED)
@@ -386,7 +425,7 @@
     def _release(self, job: GateJob) -> None:
         """Release the resources of a request, and start the next one."""
         phase, job.phase = job.phase, Phase.DONE
-        self._open_count -= 1
+        self._open.discard(job)
         if self._jobs.get(job.frame.request_id) is job:
             del self._jobs[job.frame.request_id]
         if job.deadline is not None:
@@ -405,7 +444,25 @@
             job = self._queue.pop()
             if job is None:
                 return
-            self._start(job)
+            if self._may_send(job):
+                self._start(job)
+            else:
+                self._refuse(job, Reason.DAEMON_STOPPING)
+
+    def _may_send(self, job: GateJob) -> bool:
+        return self.stop_guard.may_send(
+            self._timers.now(),
+            expires_at=job.expires_at,
+            service_time_s=_service_time_s(job),
+        )
+
+
+def _service_time_s(job: GateJob) -> float:
+    """Return the time that a stop must leave for a request.
+
+    The dispatcher has decided on the requests of this host.
+    """
+    return 0.0 if job.is_local else _MIN_SERVICE_TIME_S
 
 
 def _ignore(outcome: Outcome) -> None:
--- a/tests/dataplane/test_drain_slow_readers.py
+++ b/tests/dataplane/test_drain_slow_readers.py
@@ -7,14 +7,18 @@
 
 import pytest
 
-from turmericrouter_dataplane import drain as drain_module
 from turmericrouter_dataplane.decision_log import DecisionLog
 from turmericrouter_dataplane.drain import Drain
 from turmericrouter_dataplane.http_server import HttpServer
+from turmericrouter_dataplane.policy.planned_stop import CutRequests
+from turmericrouter_dataplane.policy.planned_stop import StopGuard
+from turmericrouter_dataplane.policy.planned_stop import StopTimes
 from turmericrouter_dataplane.timers import TimerService
 
-_STOP_WITHIN_S = 1.5
-_SEND_MARGIN_S = drain_module._SEND_MARGIN_S
+_STOP_WITHIN_S = 3.0
+_SEND_MARGIN_S = _STOP_WITHIN_S - StopTimes.plan(0.0, _STOP_WITHIN_S).sent_by
+# Longer than the stop takes without slow readers.
+_READ_AFTER_S = 2.2
 
 
 class _SlowReaders:
@@ -42,7 +46,12 @@
             def has_unread_answers(self) -> bool:
                 return slow_callers.has_unread_answers
 
-        idle: Any = types.SimpleNamespace(in_flight=0, is_idle=True)
+        idle: Any = types.SimpleNamespace(
+            in_flight=0,
+            is_idle=True,
+            stop_guard=StopGuard(),
+            answer_all=lambda: CutRequests(0, 0.0),
+        )
         drain = Drain(
             callers=_Callers(idle),
             peers=types.SimpleNamespace(leave=lambda: None),
@@ -62,12 +71,12 @@
 
 def test_stop_waits_until_peers_have_read_their_outcomes() -> None:
     """Guards against outcomes that end with the process."""
-    assert _stop(peers_s=0.9) > 0.9
+    assert _stop(peers_s=_READ_AFTER_S) > _READ_AFTER_S
 
 
 def test_stop_waits_until_callers_have_read_their_answers() -> None:
     """Guards against answers that end with the process."""
-    assert _stop(callers_s=0.9) > 0.9
+    assert _stop(callers_s=_READ_AFTER_S) > _READ_AFTER_S
 
 
 @pytest.mark.parametrize('reader', ['callers_s', 'peers_s'])
--- a/tests/dataplane/test_gate.py
+++ b/tests/dataplane/test_gate.py
@@ -1,6 +1,7 @@
 """Guards against wrong request counts and targets at the gate."""
 
 import asyncio
+import time
 
 from dataplane_values import NAMES
 from turmericrouter_core.verdict import Reason
@@ -10,6 +11,7 @@
 from turmericrouter_dataplane.frames import Outcome
 from turmericrouter_dataplane.gate import Gate
 from turmericrouter_dataplane.local_target import LocalTarget
+from turmericrouter_dataplane.policy.planned_stop import StopTimes
 from turmericrouter_dataplane.policy.target_chooser import TargetState
 from turmericrouter_dataplane.settings import Address
 from turmericrouter_dataplane.timers import TimerService
@@ -167,3 +169,174 @@
         server.close()
 
     asyncio.run(work())
+
+
+def test_stopping_host_refuses_peers_but_not_its_own_requests() -> None:
+    """Guards against a stop that takes new work of peers until its end."""
+
+    async def work() -> None:
+        gate = make_gate()
+        outcomes: list[Outcome] = []
+        gate.stop_guard.begin(StopTimes.plan(time.monotonic(), 6.0))
+        gate.submit(make_dispatch(1), outcomes.append)
+        gate.stop_guard.end_notice()
+        own = gate.submit(make_dispatch(0), outcomes.append)
+        gate.submit(make_dispatch(2), outcomes.append)
+        assert [(o.correlation, o.verdict, o.reason) for o in outcomes] == [
+            (2, Verdict.NOT_RUN, Reason.DAEMON_STOPPING)
+        ]
+        assert not own.is_done
+
+    asyncio.run(work())
+
+
+def test_target_of_a_stopping_host_gets_the_time_that_is_left() -> None:
+    """Guards against a target that works on after the end of the stop."""
+
+    async def work() -> None:
+        limits_ms: list[int] = []
+
+        async def answer(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            head = await reader.readuntil(b'\r\n\r\n')
+            value = head.partition(NAMES.deadline_ms + b': ')[2]
+            limits_ms.append(int(value.partition(b'\r\n')[0]))
+            writer.close()
+
+        server = await asyncio.start_server(answer, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        gate = make_gate()
+        address = Address('127.0.0.1', port)
+        gate.set_target(
+            LocalTarget('t-1', 'design', address, 4, TargetState.SERVING)
+        )
+        outcomes: list[Outcome] = []
+        times = StopTimes.plan(time.monotonic(), 2.5)
+        gate.stop_guard.begin(times)
+        gate.submit(make_dispatch(), outcomes.append)
+        async with asyncio.timeout(5.0):
+            while not outcomes:
+                await asyncio.sleep(0.01)
+        longest_s = times.answers_due_at - times.started_at
+        assert longest_s * 500 < limits_ms[0] <= longest_s * 1000
+        gate.stop()
+        server.close()
+
+    asyncio.run(work())
+
+
+def test_request_that_waits_for_a_slot_is_not_sent_after_the_end() -> None:
+    """Guards against a queue that is served while connections close."""
+
+    async def work() -> None:
+        gate = make_gate()
+        outcomes: list[Outcome] = []
+        first = gate.submit(make_dispatch(1), outcomes.append)
+        gate.submit(make_dispatch(2), outcomes.append)
+        gate.stop_guard.close()
+        gate.cancel(first)
+        assert [(o.correlation, o.verdict, o.reason) for o in outcomes] == [
+            (2, Verdict.NOT_RUN, Reason.DAEMON_STOPPING)
+        ]
+        assert gate.is_idle
+
+    asyncio.run(work())
+
+
+def test_request_is_not_sent_on_a_connection_that_opens_after_the_end() -> (
+    None
+):
+    """Guards against a request that is sent to be cut at once."""
+
+    async def work() -> None:
+        received: list[bytes] = []
+
+        async def answer(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            received.append(await reader.read(100))
+            writer.close()
+
+        server = await asyncio.start_server(answer, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        gate = make_gate()
+        address = Address('127.0.0.1', port)
+        gate.set_target(
+            LocalTarget('t-1', 'design', address, 4, TargetState.SERVING)
+        )
+        outcomes: list[Outcome] = []
+        gate.submit(make_dispatch(0), outcomes.append)
+        gate.stop_guard.close()
+        async with asyncio.timeout(5.0):
+            while not outcomes:
+                await asyncio.sleep(0.01)
+        assert [(o.verdict, o.reason) for o in outcomes] == [
+            (Verdict.NOT_RUN, Reason.DAEMON_STOPPING)
+        ]
+        gate.stop()
+        await asyncio.sleep(0.05)
+        assert received == [b'']
+        server.close()
+
+    asyncio.run(work())
+
+
+def test_end_of_a_stop_tells_peers_which_requests_have_not_run() -> None:
+    """Guards against a lost link as the only answer.
+
+    The peer would take a request that only waited for one that may have run.
+    """
+
+    async def work() -> None:
+        connected = asyncio.Event()
+
+        async def hold(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            connected.set()
+            await reader.read(-1)
+            writer.close()
+
+        server = await asyncio.start_server(hold, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        gate = make_gate()
+        address = Address('127.0.0.1', port)
+        gate.set_target(
+            LocalTarget('t-1', 'design', address, 1, TargetState.SERVING)
+        )
+        outcomes: list[Outcome] = []
+        running = gate.submit(
+            make_dispatch(1, is_idempotent=False), outcomes.append
+        )
+        gate.submit(make_dispatch(2), outcomes.append)
+        await connected.wait()
+        async with asyncio.timeout(5.0):
+            while not running.has_started:
+                await asyncio.sleep(0.01)
+        gate.stop_guard.close()
+        cut = gate.answer_all()
+        assert {o.correlation: (o.verdict, o.reason) for o in outcomes} == {
+            1: (Verdict.MAY_HAVE_RUN, Reason.DAEMON_STOPPING),
+            2: (Verdict.NOT_RUN, Reason.DAEMON_STOPPING),
+        }
+        assert cut.count == 2 and 0.0 <= cut.oldest_s < 5.0
+        assert gate.is_idle
+        gate.stop()
+        server.close()
+        await asyncio.sleep(0.05)
+
+    asyncio.run(work())
+
+
+def test_end_of_a_stop_leaves_no_request_that_still_connects() -> None:
+    async def work() -> None:
+        gate = make_gate()
+        outcomes: list[Outcome] = []
+        gate.submit(make_dispatch(1), outcomes.append)
+        gate.stop_guard.close()
+        assert gate.answer_all().count == 1
+        assert [o.verdict for o in outcomes] == [Verdict.NOT_RUN]
+        assert gate.is_idle
+
+    asyncio.run(work())
