Use an offset of the log only within its era

Cause: nothing read Store-Era. A log reader whose read was answered across the return of an older copy, or whose log had grown past its offset again, went on from an offset that meant other records. It skipped a confirmed configuration until the next one. Late answers of an earlier era, and pages of two eras, counted as one state of the log.

Ruled out: failed reads, after which the reader began anew already.

Conclusion: each answer of each call reports its era; an offset is held with its era, the rise of an era ends a read in progress, and an answer of an earlier era is not applied.

--- a/packages/dataplane/src/turmericrouter_dataplane/application.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/application.py
@@ -19,6 +19,7 @@
 from turmericrouter_dataplane.decision_log import STDOUT_FD
 from turmericrouter_dataplane.dispatcher import Dispatcher
 from turmericrouter_dataplane.drain import Drain
+from turmericrouter_dataplane.era_watch import EraWatch
 from turmericrouter_dataplane.fleet_config import FleetConfig
 from turmericrouter_dataplane.frames import HostRecord
 from turmericrouter_dataplane.gate import Gate
@@ -37,6 +38,7 @@
 from turmericrouter_dataplane.metrics import Metrics
 from turmericrouter_dataplane.policy.crash_records import CrashRecords
 from turmericrouter_dataplane.policy.downstream_load import DownstreamLoad
+from turmericrouter_dataplane.policy.log_era import LogEra
 from turmericrouter_dataplane.policy.retry_budget import RetryBudget
 from turmericrouter_dataplane.policy.target_chooser import TargetChooser
 from turmericrouter_dataplane.policy.target_chooser import TargetState
@@ -149,9 +151,18 @@
             deployment.headers, self._timers, self._log, self._report_crash
         )
         self._log_service = deployment.log_service(settings.log_service)
+        self._era = LogEra()
+        self._era_watch = EraWatch(self._era, self._log)
+        self._era_watch.on_rise = self._handle_era_rise
+        self._log_service.on_era = self._era_watch.observe_log
         decode: ConfigDecoder = deployment.decode_config
         self._config = ConfigFeed(
-            self._log_service, decode, self._apply_config, self._log, self._rng
+            self._log_service,
+            self._era,
+            decode,
+            self._apply_config,
+            self._log,
+            self._rng,
         )
         self._members = self._make_members()
         self._config.is_reader = self._members.is_log_reader
@@ -390,6 +401,9 @@
         self._dispatcher.set_config(config)
         self._callers.limits = config.limits
 
+    def _handle_era_rise(self, is_from_log: bool) -> None:
+        self._config.handle_era_rise()
+
     def _report_crash(self, digest: int, target_id: str) -> None:
         self._members.report_crash(digest, target_id)
 
--- a/packages/dataplane/src/turmericrouter_dataplane/config_feed.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/config_feed.py
@@ -13,6 +13,8 @@
 from turmericrouter_dataplane.log_service import LogService
 from turmericrouter_dataplane.log_service import RecordPage
 from turmericrouter_dataplane.log_service import Stream
+from turmericrouter_dataplane.policy.log_era import LogEra
+from turmericrouter_dataplane.policy.log_era import LogPosition
 
 # Longest wait of one read for a change. A connection that has gone silent is
 # noticed only after it.
@@ -34,6 +36,7 @@
 
     Args:
         log_service: The platform's log.
+        era: Newest known era of the log.
         decode: Reads a published document; raises `ConfigError`.
         apply: Applies a configuration.
         log: Decision log.
@@ -43,12 +46,15 @@
     def __init__(
         self,
         log_service: LogService,
+        era: LogEra,
         decode: ConfigDecoder,
         apply: Callable[[FleetConfig], None],
         log: DecisionLog,
         rng: random.Random,
     ) -> None:
         self._log_service = log_service
+        self._era = era
+        self._era_risen = asyncio.Event()
         self._decode = decode
         self._apply = apply
         self._log = log
@@ -72,36 +78,39 @@
     async def run(self) -> None:
         """Follow the stream until the task is cancelled."""
         pause_s = _INITIAL_PAUSE_S
-        start: int | None = None
+        position: LogPosition | None = None
         while True:
             if self.version >= 0 and not self.is_reader():
-                start = None
+                position = None
                 await asyncio.sleep(_DUTY_CHECK_PERIOD_S)
                 continue
             try:
-                if start is None:
-                    page = await self._log_service.read_newest(
-                        Stream.CONFIGURATION
-                    )
-                else:
-                    page = await self._log_service.read(
-                        Stream.CONFIGURATION, start, LONG_POLL_S
-                    )
+                page = await self._read(position)
             except HistoryLostError:
-                start = None
+                position = None
                 continue
             except LogServiceError as error:
                 self._log_lost(error)
                 await asyncio.sleep(pause_s * (0.5 + self._rng.random()))
                 pause_s = min(_MAX_PAUSE_S, pause_s * 2)
                 # Records may have been dropped in the meantime.
-                start = None
+                position = None
                 continue
             pause_s = _INITIAL_PAUSE_S
             self._log_regained()
-            start = page.next_offset
+            position = LogPosition(
+                page.next_offset, self._era.resolve(page.era)
+            )
             self._apply_page(page)
 
+    def handle_era_rise(self) -> None:
+        """End the read in progress, and begin anew with the newest records.
+
+        The read may wait at an offset above the records that are written
+        again, until it times out.
+        """
+        self._era_risen.set()
+
     def offer(self, document: bytes, source: str) -> None:
         """Apply a document unless it is older or not valid."""
         try:
@@ -131,6 +140,37 @@
             workspaces=len(config.workspaces),
         )
 
+    async def _read(self, position: LogPosition | None) -> RecordPage:
+        if position is not None and self._era.holds(position):
+            page = await self._poll(position)
+            if self._era.resolve(page.era) != position.era:
+                raise HistoryLostError('the offset is of another era')
+            return page
+        page = await self._log_service.read_newest(Stream.CONFIGURATION)
+        if self._era.is_stale(page.era):
+            raise LogServiceError('the answer is of an earlier era')
+        self._era_risen.clear()
+        return page
+
+    async def _poll(self, position: LogPosition) -> RecordPage:
+        """Wait for records after a position, until the era rises."""
+        read = asyncio.ensure_future(
+            self._log_service.read(
+                Stream.CONFIGURATION, position.offset, LONG_POLL_S
+            )
+        )
+        era_risen = asyncio.ensure_future(self._era_risen.wait())
+        try:
+            await asyncio.wait(
+                {read, era_risen}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not read.done():
+                raise HistoryLostError('the era of the log has risen')
+            return read.result()
+        finally:
+            read.cancel()
+            era_risen.cancel()
+
     def _apply_page(self, page: RecordPage) -> None:
         before = self.version
         for record in page.records:
--- a/tests/dataplane/test_config_feed.py
+++ b/tests/dataplane/test_config_feed.py
@@ -8,6 +8,7 @@
 from turmericrouter_dataplane.config_feed import ConfigFeed
 from turmericrouter_dataplane.log_service import KeyedRecord
 from turmericrouter_dataplane.log_service import RecordPage
+from turmericrouter_dataplane.policy.log_era import LogEra
 
 
 class _Config:
@@ -47,15 +48,19 @@
         return RecordPage((record,), self.version)
 
 
-def _make_feed(service: _LogService) -> ConfigFeed:
-    log_service: Any = service
+def _make_feed(log_service: Any, era: LogEra | None = None) -> ConfigFeed:
     log: Any = _Log()
 
     def decode(document: bytes) -> Any:
         return _Config(int(document))
 
     return ConfigFeed(
-        log_service, decode, lambda config: None, log, random.Random(1)
+        log_service,
+        era or LogEra(),
+        decode,
+        lambda config: None,
+        log,
+        random.Random(1),
     )
 
 
@@ -132,3 +137,104 @@
 
     asyncio.run(work())
     assert states == [False, True]
+
+
+class _RestoredLog:
+    """Restores an older copy; it gives offsets out again.
+
+    `documents` are the records of the present era. A read answers once there
+    is a record at its offset.
+    """
+
+    def __init__(self, era: LogEra) -> None:
+        self._observe = era.observe
+        self.era = 0
+        self.documents = [b'1', b'2', b'3']
+        # Eras of the next answers, for answers made before the return.
+        self.answered_eras: list[int] = []
+        self.read_offsets: list[int] = []
+
+    async def read_newest(self, stream: object) -> RecordPage:
+        return self._page(0)
+
+    async def read(
+        self, stream: object, start: int, wait_s: float
+    ) -> RecordPage:
+        self.read_offsets.append(start)
+        while len(self.documents) <= start:
+            await asyncio.sleep(0.01)
+        return self._page(start)
+
+    def restore(self, *documents: bytes) -> None:
+        self.era += 1
+        self.documents = list(documents)
+
+    def _page(self, start: int) -> RecordPage:
+        era = self.answered_eras.pop(0) if self.answered_eras else self.era
+        self._observe(era)
+        records = tuple(
+            KeyedRecord('config', document)
+            for document in self.documents[start:]
+        )
+        return RecordPage(records, len(self.documents), era)
+
+
+async def _run_across(
+    feed: ConfigFeed, log: _RestoredLog, *documents: bytes
+) -> None:
+    task = asyncio.create_task(_run(feed, 0.6))
+    await asyncio.sleep(0.1)
+    log.restore(*documents)
+    await task
+
+
+def test_record_below_the_offset_of_an_earlier_era_is_read() -> None:
+    """Guards against a confirmed change that a waiting reader skips.
+
+    Its read is answered across the return, once the log has grown past the
+    offset again.
+    """
+    era = LogEra()
+    log = _RestoredLog(era)
+    feed = _make_feed(log, era)
+    asyncio.run(_run_across(feed, log, b'1', b'7', b'4', b'4'))
+    assert feed.version == 7
+
+
+def test_read_across_the_return_ends_when_a_peer_reports_it() -> None:
+    """Guards against a reader that waits at an offset that is not reached."""
+    era = LogEra()
+    log = _RestoredLog(era)
+    feed = _make_feed(log, era)
+
+    async def work() -> None:
+        task = asyncio.create_task(_run(feed, 0.6))
+        await asyncio.sleep(0.1)
+        log.restore(b'1', b'7')
+        era.observe(1)
+        feed.handle_era_rise()
+        await task
+
+    asyncio.run(work())
+    assert feed.version == 7
+    assert log.read_offsets == [3, 2]
+
+
+def test_answer_of_an_earlier_era_is_not_applied() -> None:
+    """Guards against a late answer that counts as news of the newer log."""
+    era = LogEra()
+    log = _RestoredLog(era)
+    feed = _make_feed(log, era)
+    era.observe(2)
+    log.answered_eras = [1]
+    log.era = 2
+    log.documents = [b'9']
+
+    async def work() -> None:
+        task = asyncio.create_task(_run(feed, 0.6))
+        await asyncio.sleep(0.03)
+        assert feed.version == -1
+        await task
+
+    asyncio.run(work())
+    assert feed.version == 9
--- a/tests/platform/standin_store.py
+++ b/tests/platform/standin_store.py
@@ -28,6 +28,7 @@
         self.first: dict[str, int] = {}
         self.fault = Fault.NONE
         self.calls = 0
+        self.era = 0
         self._changed = asyncio.Event()
         self._runner: web.AppRunner | None = None
         self.port = 0
@@ -38,6 +39,7 @@
         app.router.add_post('/-/log-append', self._append)
         app.router.add_get('/-/log-read', self._read)
         app.router.add_get('/-/log-newest', self._newest)
+        app.on_response_prepare.append(self._add_era)
         self._runner = web.AppRunner(app, shutdown_timeout=0.1)
         await self._runner.setup()
         site = web.TCPSite(self._runner, '127.0.0.1', 0)
@@ -55,6 +57,20 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def copy(self) -> dict[str, int]:
+        """Return the present end of each topic, to be restored later."""
+        return {topic: len(kept) for topic, kept in self.records.items()}
+
+    def restore(self, copy: dict[str, int]) -> None:
+        """Return to a copy: lose the records since then, raise the era.
+
+        Calls in progress go on, as on a connection that outlives the return.
+        """
+        self.era += 1
+        for topic, kept in self.records.items():
+            del kept[copy.get(topic, 0) :]
+            self.first[topic] = min(self.first.get(topic, 0), len(kept))
+
     def compact(self, topic: str) -> None:
         """Discard the history of a topic; the newest records stay.
 
@@ -62,6 +78,11 @@
         """
         self.first[topic] = len(self.records.get(topic, []))
 
+    async def _add_era(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        response.headers['Store-Era'] = str(self.era)
+
     async def _apply_fault(self, request: web.Request) -> web.Response | None:
         self.calls += 1
         if self.fault is Fault.SLOW:
@@ -99,7 +120,7 @@
         topic = request.query['topic']
         start = int(request.query['from'])
         first = self.first.get(topic, 0)
-        if start < first:
+        if start < first or start > len(self.records.get(topic, [])):
             return web.json_response({'first': first}, status=410)
         wait_s = int(request.query.get('wait_ms', '0')) / 1000
         try:
--- a/tests/platform/test_log_store.py
+++ b/tests/platform/test_log_store.py
@@ -1,6 +1,7 @@
 """Guards against records that are lost, half read or read twice."""
 
 import asyncio
+import json
 import struct
 from typing import Any
 
@@ -11,6 +12,7 @@
 from turmericrouter_dataplane.http_client import HttpResponse
 from turmericrouter_dataplane.log_service import KeyedRecord
 from turmericrouter_dataplane.log_service import Stream
+from turmericrouter_dataplane.policy.log_era import UNKNOWN_ERA
 from turmericrouter_dataplane.settings import Address
 from turmericrouter_platform.log_store import encode_record
 from turmericrouter_platform.log_store import LogStore
@@ -75,3 +77,96 @@
     with pytest.raises(LogServiceError) as caught:
         asyncio.run(store.append(Stream.HOSTS, record))
     assert not isinstance(caught.value, AppendUnknownError)
+
+
+class _Answers:
+    """Answers the calls in turn, and keeps their paths."""
+
+    def __init__(self, *answers: HttpResponse) -> None:
+        self._answers = list(answers)
+        self.paths: list[str] = []
+
+    async def call(
+        self, method: str, path: str, *arguments: Any, **options: Any
+    ) -> HttpResponse:
+        self.paths.append(path)
+        return self._answers.pop(0)
+
+
+def _answer(
+    body: bytes, era: bytes | None = b'3', status: int = 200
+) -> HttpResponse:
+    headers = {} if era is None else {b'store-era': era}
+    return HttpResponse(status, b'', headers, body)
+
+
+def _newest(*keys: str, more: bool = False) -> bytes:
+    items = [{'key': key, 'value': ''} for key in keys]
+    return json.dumps({'items': items, 'more': more, 'end': 9}).encode()
+
+
+def _store_with(*answers: HttpResponse) -> tuple[LogStore, _Answers]:
+    store = LogStore(Address('127.0.0.1', 1))
+    answers_in_turn = _Answers(*answers)
+    client: Any = answers_in_turn
+    store._call_client = store._poll_client = client
+    return store, answers_in_turn
+
+
+@pytest.mark.parametrize('status', [200, 410, 429, 503])
+def test_each_answer_reports_its_era(status: int) -> None:
+    """Guards against a return of the store that no call notices."""
+    answer = _answer(_body(RECORD), b'3', status)
+    store, _ = _store_with(answer, answer)
+    eras: list[int] = []
+    store.on_era = eras.append
+    record = KeyedRecord('host', b'value')
+
+    async def work() -> None:
+        if status == 200:
+            page = await store.read(Stream.CONFIGURATION, 5, 0.0)
+            assert page.era == 3
+            assert await store.append(Stream.HOSTS, record) == 3
+            return
+        with pytest.raises(LogServiceError):
+            await store.read(Stream.CONFIGURATION, 5, 0.0)
+        with pytest.raises(LogServiceError):
+            await store.append(Stream.HOSTS, record)
+
+    asyncio.run(work())
+    assert eras == [3, 3]
+
+
+@pytest.mark.parametrize('era', [None, b'', b'-1', b'x', b'9' * 5000])
+def test_era_that_is_no_number_is_unknown(era: bytes | None) -> None:
+    """Guards against a header that ends the reader or raises the era."""
+    store, _ = _store_with(_answer(_body(RECORD), era))
+    eras: list[int] = []
+    store.on_era = eras.append
+    page = asyncio.run(store.read(Stream.CONFIGURATION, 5, 0.0))
+    assert page.era == UNKNOWN_ERA
+    assert not eras
+
+
+def test_pages_of_two_eras_are_not_joined() -> None:
+    """Guards against records before a return of the store beside new ones."""
+    store, calls = _store_with(
+        _answer(_newest('a', more=True), b'1'),
+        _answer(_newest('z'), b'2'),
+        _answer(_newest('b', more=True), b'2'),
+        _answer(_newest('c'), b'2'),
+    )
+    page = asyncio.run(store.read_newest(Stream.HOSTS))
+    assert [record.key for record in page.records] == ['b', 'c']
+    assert page.era == 2
+    assert len(calls.paths) == 4
+
+
+def test_eras_that_change_at_each_page_are_an_error() -> None:
+    """Guards against a read without end."""
+    answers = [
+        _answer(_newest('a', more=True), b'%d' % number) for number in range(6)
+    ]
+    store, _ = _store_with(*answers)
+    with pytest.raises(LogServiceError):
+        asyncio.run(store.read_newest(Stream.HOSTS))
