Write the host's record again after the log has lost it

Cause: HostDirectory compared the present record with the last one it had written, not with what the log holds. After a return of the store from an older copy the record stayed lost: a departure that was acknowledged was undone by a restart of the fleet, and hosts that started later did not learn of the host.

Ruled out: the memory of peers, which keeps a departure only as long as one of them does not restart.

Conclusion: an acknowledgement counts within its era, and a load that lacks the record counts as a loss. Statuses and heartbeats carry the era, so the log readers tell the others; the writes are spread at 100 a second.

--- a/packages/dataplane/src/turmericrouter_dataplane/application.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/application.py
@@ -59,6 +59,9 @@
 # The first write of the host record waits this long for the announcement of
 # the target, which saves a second write.
 _FIRST_ANNOUNCEMENT_TIMEOUT_S = 1.8
+# Hosts write their records again at this rate after a loss of the log, all
+# together; the log refuses calls beyond some hundreds a second.
+_REWRITES_PER_S = 100.0
 # Time for the links to send their last data.
 _LINK_CLOSE_S = 0.02
 # Idle caller connections are closed this long after the idle timeout, within
@@ -169,7 +172,7 @@
         self._config.on_read = self._members.copy_config
         self._config.on_connection_change = self._members.broadcast_status
         self._directory = HostDirectory(
-            self._log_service, self._members, self._log
+            self._log_service, self._era, self._members, self._log
         )
         self._exchange = TokenExchange(
             self._quota,
@@ -248,6 +251,7 @@
             budget=self._budget,
             crash_records=self._crash_records,
             config=self._config,
+            era_watch=self._era_watch,
             log=self._log,
         )
 
@@ -402,7 +406,15 @@
         self._callers.limits = config.limits
 
     def _handle_era_rise(self, is_from_log: bool) -> None:
+        """Write again what the log may have lost, and inform the peers."""
         self._config.handle_era_rise()
+        if is_from_log:
+            self._members.broadcast_status()
+        spread_s = (self._members.peers + 1) / _REWRITES_PER_S
+        self._timers.at(
+            self._timers.now() + spread_s * self._rng.random(),
+            self._record_changed.set,
+        )
 
     def _report_crash(self, digest: int, target_id: str) -> None:
         self._members.report_crash(digest, target_id)
--- a/packages/dataplane/src/turmericrouter_dataplane/config_sharing.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/config_sharing.py
@@ -2,10 +2,12 @@
 
 from turmericrouter_core.rendezvous import rank_by_hash
 from turmericrouter_dataplane.config_feed import ConfigFeed
+from turmericrouter_dataplane.era_watch import EraWatch
 from turmericrouter_dataplane.frames import ConfigCopy
 from turmericrouter_dataplane.frames import encode_frame
 from turmericrouter_dataplane.frames import HostRecord
 from turmericrouter_dataplane.frames import Introduction
+from turmericrouter_dataplane.links import Link
 from turmericrouter_dataplane.links import LinkPool
 from turmericrouter_dataplane.policy.target_chooser import TargetChooser
 from turmericrouter_dataplane.policy.watchers import WatchedHosts
@@ -29,6 +31,7 @@
         chooser: Known hosts.
         pool: Links to peers.
         watched: Hosts that this one watches.
+        era_watch: Tells whether the log may lack records of hosts.
     """
 
     def __init__(
@@ -39,12 +42,14 @@
         chooser: TargetChooser,
         pool: LinkPool,
         watched: WatchedHosts,
+        era_watch: EraWatch,
     ) -> None:
         self._host = host
         self._config = config
         self._chooser = chooser
         self._pool = pool
         self._watched = watched
+        self._era_watch = era_watch
         # When each lagging host first reported an older configuration.
         self._lagging_since: dict[str, float] = {}
 
@@ -80,19 +85,22 @@
         ):
             return
         link.send(self._copy())
-        self.introduce(record.name, version)
+        self.introduce(record.name, version, link)
 
-    def introduce(self, host: str, version: int) -> None:
-        """Send the known hosts to a peer that has no configuration yet.
+    def introduce(self, host: str, version: int, link: Link) -> None:
+        """Send the known hosts to a peer that may not know them.
+
+        It does not if it has no configuration yet. After a return of the log
+        from an older copy, its directory may lack hosts.
 
         Args:
             host: Name of the peer.
             version: Version in force there; -1 for none.
+            link: A link to the peer.
         """
-        if version >= 0 or not self.is_bootstrap_peer(host):
+        if version >= 0 and not self._era_watch.is_repairing:
             return
-        link = self._pool.get(host)
-        if link is not None:
+        if self.is_bootstrap_peer(host):
             hosts = [view.record for view in self._chooser.views.values()]
             link.send(Introduction(hosts))
 
--- a/packages/dataplane/src/turmericrouter_dataplane/frames.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/frames.py
@@ -15,6 +15,9 @@
 MAX_FRAME_BYTES = 80 * 1024 * 1024
 
 
+# Reported by a host that knows no era of the log, and by older daemons.
+_UNKNOWN_ERA = -1
+
 # Revision of the frames. A daemon closes a link on a frame that it does not
 # know, so newer frames go only to peers that report at least their revision.
 PROTOCOL_REVISION = 2
@@ -60,6 +63,7 @@
         is_leaving: Whether the daemon is about to stop.
         protocol: Revision of the frames that the daemon can read.
         reads_log: Whether the daemon's last read of the log succeeded.
+        log_era: Newest era of the log that the daemon knows of; -1 for none.
     """
 
     host: HostRecord
@@ -70,6 +74,7 @@
     is_leaving: bool = False
     protocol: int = 0
     reads_log: bool = True
+    log_era: int = _UNKNOWN_ERA
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag=11):
@@ -80,12 +85,14 @@
         running: Requests at the target.
         waiting: Requests that wait at the gate.
         is_watched: Whether the receiver shall report the sender's silence.
+        log_era: Newest era of the log that the sender knows of; -1 for none.
     """
 
     config_version: int
     running: int
     waiting: int
     is_watched: bool = False
+    log_era: int = _UNKNOWN_ERA
 
 
 class Dispatch(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/packages/dataplane/src/turmericrouter_dataplane/host_directory.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/host_directory.py
@@ -12,6 +12,7 @@
 from turmericrouter_dataplane.log_service import LogService
 from turmericrouter_dataplane.log_service import Stream
 from turmericrouter_dataplane.members import Members
+from turmericrouter_dataplane.policy.log_era import LogEra
 
 
 class HostDirectory:
@@ -19,17 +20,24 @@
 
     Args:
         log_service: The platform's log.
+        era: Newest known era of the log.
         members: Hosts of the fleet.
         log: Decision log.
     """
 
     def __init__(
-        self, log_service: LogService, members: Members, log: DecisionLog
+        self,
+        log_service: LogService,
+        era: LogEra,
+        members: Members,
+        log: DecisionLog,
     ) -> None:
         self._log_service = log_service
+        self._era = era
         self._members = members
         self._log = log
         self._stored_value = b''
+        self._stored_era = 0
 
     async def load(
         self, on_own: Callable[[HostRecord], None] = lambda record: None
@@ -44,7 +52,12 @@
             LogServiceError: They could not be read.
         """
         page = await self._log_service.read_newest(Stream.HOSTS)
+        if self._era.is_stale(page.era):
+            raise LogServiceError('the answer is of an earlier era')
         own = self._members.record.name
+        # A log that lacks the record has lost it.
+        self._stored_value = b''
+        self._stored_era = self._era.resolve(page.era)
         for item in page.records:
             try:
                 record = decode_record(item.value)
@@ -63,23 +76,35 @@
         self._remove_missing({item.key for item in page.records})
 
     async def store(self) -> bool:
-        """Write the record of this host if it has changed.
+        """Write the record of this host if it has changed or may be lost.
+
+        An acknowledgement of an earlier era does not show that the log still
+        holds the record.
 
         Returns:
             Whether the log holds the present record.
         """
         record = self._members.record
         value = encode_record(record)
-        if value == self._stored_value:
+        if value == self._stored_value and not self._era.is_stale(
+            self._stored_era
+        ):
             return True
         try:
-            await self._log_service.append(
+            era = await self._log_service.append(
                 Stream.HOSTS, KeyedRecord(record.name, value)
             )
         except LogServiceError as error:
             self._log.event('host_record_not_stored', error=str(error))
             return False
         self._stored_value = value
+        self._stored_era = self._era.resolve(era)
+        if self._era.is_stale(era):
+            self._log.event(
+                'host_record_not_stored',
+                error='the acknowledgement is of an earlier era',
+            )
+            return False
         return True
 
     def _remove_missing(self, present: set[str]) -> None:
--- /dev/null
+++ b/packages/dataplane/src/turmericrouter_dataplane/host_reports.py
@@ -0,0 +1,57 @@
+"""Builds the frames in which this host reports its state."""
+
+from turmericrouter_dataplane.config_feed import ConfigFeed
+from turmericrouter_dataplane.era_watch import EraWatch
+from turmericrouter_dataplane.frames import Heartbeat
+from turmericrouter_dataplane.frames import HostRecord
+from turmericrouter_dataplane.frames import PROTOCOL_REVISION
+from turmericrouter_dataplane.frames import Status
+from turmericrouter_dataplane.gate import Gate
+
+
+class HostReports:
+    """Builds statuses and heartbeats.
+
+    Args:
+        gate: Gate of the local target.
+        config: Configuration in force.
+        era_watch: Newest known era of the log.
+    """
+
+    def __init__(
+        self, gate: Gate, config: ConfigFeed, era_watch: EraWatch
+    ) -> None:
+        self._gate = gate
+        self._config = config
+        self._era_watch = era_watch
+
+    def status(self, record: HostRecord, *, is_leaving: bool) -> Status:
+        """Return the whole state of this host.
+
+        Args:
+            record: Record of this host.
+            is_leaving: Whether the daemon is about to stop.
+        """
+        gate = self._gate
+        return Status(
+            record,
+            self._config.version,
+            gate.running,
+            gate.waiting,
+            gate.limit,
+            is_leaving,
+            PROTOCOL_REVISION,
+            self._config.is_connected,
+            self._era_watch.current,
+        )
+
+    def heartbeat(self, *, is_watched: bool) -> Heartbeat:
+        """Return a heartbeat for a watcher of this host, or for another."""
+        gate = self._gate
+        return Heartbeat(
+            self._config.version,
+            gate.running,
+            gate.waiting,
+            is_watched,
+            self._era_watch.current,
+        )
--- a/packages/dataplane/src/turmericrouter_dataplane/members.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/members.py
@@ -7,6 +7,7 @@
 from turmericrouter_dataplane.config_feed import ConfigFeed
 from turmericrouter_dataplane.config_sharing import ConfigSharing
 from turmericrouter_dataplane.decision_log import DecisionLog
+from turmericrouter_dataplane.era_watch import EraWatch
 from turmericrouter_dataplane.frames import Cancel
 from turmericrouter_dataplane.frames import ConfigCopy
 from turmericrouter_dataplane.frames import CrashReport
@@ -18,7 +19,6 @@
 from turmericrouter_dataplane.frames import HostRecord
 from turmericrouter_dataplane.frames import Introduction
 from turmericrouter_dataplane.frames import Outcome
-from turmericrouter_dataplane.frames import PROTOCOL_REVISION
 from turmericrouter_dataplane.frames import Status
 from turmericrouter_dataplane.frames import Suspicion
 from turmericrouter_dataplane.frames import SUSPICION_REVISION
@@ -27,6 +27,7 @@
 from turmericrouter_dataplane.frames import TokenRequest
 from turmericrouter_dataplane.gate import Gate
 from turmericrouter_dataplane.gate_job import GateJob
+from turmericrouter_dataplane.host_reports import HostReports
 from turmericrouter_dataplane.links import Link
 from turmericrouter_dataplane.links import LinkPool
 from turmericrouter_dataplane.policy.crash_records import CrashRecords
@@ -64,6 +65,7 @@
         budget: Retry budget.
         crash_records: Records of poison requests, which crash targets.
         config: Configuration in force.
+        era_watch: Collects the eras of the log that peers report.
         log: Decision log.
     """
 
@@ -77,6 +79,7 @@
         budget: RetryBudget,
         crash_records: CrashRecords,
         config: ConfigFeed,
+        era_watch: EraWatch,
         log: DecisionLog,
     ) -> None:
         self._record = record
@@ -86,6 +89,8 @@
         self._budget = budget
         self._crash_records = crash_records
         self._config = config
+        self._era_watch = era_watch
+        self._reports = HostReports(gate, config, era_watch)
         self._log = log
         self._pool = LinkPool(self)
         self._jobs: dict[Link, dict[int, GateJob]] = {}
@@ -119,6 +124,7 @@
             chooser=chooser,
             pool=self._pool,
             watched=self._watched,
+            era_watch=era_watch,
         )
         self._watchers: frozenset[str] = frozenset()
         self._watcher_candidates: frozenset[str] = frozenset()
@@ -255,22 +261,18 @@
         if is_due:
             self._heartbeat_sent_at = now
         watchers = self._update_watchers(links)
-        watched = self._heartbeat(is_watched=True)
-        plain = self._heartbeat(is_watched=False) if is_due else b''
+        watched = encode_frame(self._reports.heartbeat(is_watched=True))
+        plain = (
+            encode_frame(self._reports.heartbeat(is_watched=False))
+            if is_due
+            else b''
+        )
         for link in links:
             if link.peer in watchers:
                 link.send_encoded(watched)
             elif is_due:
                 link.send_encoded(plain)
 
-    def _heartbeat(self, *, is_watched: bool) -> bytes:
-        gate = self._gate
-        return encode_frame(
-            Heartbeat(
-                self._config.version, gate.running, gate.waiting, is_watched
-            )
-        )
-
     def _update_watchers(self, links: list[Link]) -> frozenset[str]:
         """Return the watchers of this host among the linked peers."""
         linked = frozenset(link.peer for link in links)
@@ -434,11 +436,14 @@
     def _handle_status(self, link: Link, status: Status) -> None:
         record = status.host
         now = time.monotonic()
+        is_first = self._peer_names.get(link) != record.name
         self._peer_names[link] = record.name
         self._remove_predecessors(record)
-        if record.name not in self._chooser.views:
+        is_new = record.name not in self._chooser.views
+        if is_new:
             self.add(record)
-            self._sharing.introduce(record.name, status.config_version)
+        if is_new or (is_first and self._era_watch.is_repairing):
+            self._sharing.introduce(record.name, status.config_version, link)
         view = self._chooser.update(record)
         self._pool.connect(record.name, record.address)
         if view.record.state != record.state:
@@ -466,6 +471,7 @@
         self, view: HostView, report: Status | Heartbeat, now: float
     ) -> None:
         """Update a host with the fields that status and heartbeat share."""
+        self._era_watch.observe_peer(report.log_era)
         view.last_seen_at = now
         view.running = report.running
         view.waiting = report.waiting
@@ -483,14 +489,4 @@
                 link.probe(now)
 
     def _status(self) -> Status:
-        gate = self._gate
-        return Status(
-            self._record,
-            self._config.version,
-            gate.running,
-            gate.waiting,
-            gate.limit,
-            self.is_leaving,
-            PROTOCOL_REVISION,
-            self._config.is_connected,
-        )
+        return self._reports.status(self._record, is_leaving=self.is_leaving)
--- a/tests/dataplane/test_host_directory.py
+++ b/tests/dataplane/test_host_directory.py
@@ -6,11 +6,13 @@
 import pytest
 
 from dataplane_values import make_record
+from turmericrouter_core.errors import LogServiceError
 from turmericrouter_dataplane.frames import encode_record
 from turmericrouter_dataplane.frames import HostRecord
 from turmericrouter_dataplane.host_directory import HostDirectory
 from turmericrouter_dataplane.log_service import KeyedRecord
 from turmericrouter_dataplane.log_service import RecordPage
+from turmericrouter_dataplane.policy.log_era import LogEra
 
 
 class _Members:
@@ -60,7 +62,7 @@
     )
     members: Any = _Members(own)
     log: Any = _Log()
-    asyncio.run(HostDirectory(service, members, log).load())
+    asyncio.run(HostDirectory(service, LogEra(), members, log).load())
     assert members.added == ['other']
     assert members.is_loaded
     assert log.events == ['host_record_skipped']
@@ -76,6 +78,85 @@
     def restore(record: HostRecord) -> None:
         raise ValueError('no address')
 
-    asyncio.run(HostDirectory(service, members, log).load(restore))
+    asyncio.run(HostDirectory(service, LogEra(), members, log).load(restore))
     assert members.is_loaded
     assert log.events == ['host_record_skipped']
+
+
+class _RestoredLog:
+    """Keeps one record; answers and acknowledges in a given era."""
+
+    def __init__(self) -> None:
+        self.era = 1
+        self.record: KeyedRecord | None = None
+        self.appends = 0
+
+    async def read_newest(self, stream: object) -> RecordPage:
+        records = () if self.record is None else (self.record,)
+        return RecordPage(records, 0, self.era)
+
+    async def append(self, stream: object, record: KeyedRecord) -> int:
+        self.appends += 1
+        self.record = record
+        return self.era
+
+
+def _make_directory() -> tuple[HostDirectory, _RestoredLog, LogEra]:
+    service = _RestoredLog()
+    log_service: Any = service
+    era = LogEra()
+    era.observe(1)
+    members: Any = _Members(make_record('own'))
+    log: Any = _Log()
+    return HostDirectory(log_service, era, members, log), service, era
+
+
+def test_record_is_written_again_after_a_return_of_the_log() -> None:
+    """Guards against a host, or a departure, that stays lost."""
+    directory, service, era = _make_directory()
+    assert asyncio.run(directory.store())
+    assert asyncio.run(directory.store())
+    assert service.appends == 1
+    service.era = 2
+    service.record = None
+    era.observe(2)
+    assert asyncio.run(directory.store())
+    assert service.record is not None
+    assert asyncio.run(directory.store())
+    assert service.appends == 2
+
+
+def test_record_that_a_load_lacks_is_written_again() -> None:
+    """Guards against a loss that no era gave away."""
+    directory, service, _ = _make_directory()
+    assert asyncio.run(directory.store())
+    service.record = None
+    asyncio.run(directory.load())
+    assert asyncio.run(directory.store())
+    assert service.record is not None
+
+
+def test_record_that_outlived_the_return_is_not_written_again() -> None:
+    """Guards against a write of each host that the log does not need."""
+    directory, service, era = _make_directory()
+    assert asyncio.run(directory.store())
+    service.era = 2
+    era.observe(2)
+    asyncio.run(directory.load())
+    assert asyncio.run(directory.store())
+    assert service.appends == 1
+
+
+def test_acknowledgement_of_an_earlier_era_does_not_count() -> None:
+    """Guards against a record that was acknowledged and then lost."""
+    directory, _, era = _make_directory()
+    era.observe(2)
+    assert not asyncio.run(directory.store())
+
+
+def test_answer_of_an_earlier_era_is_not_used() -> None:
+    """Guards against hosts of before the return that count as present."""
+    directory, _, era = _make_directory()
+    era.observe(2)
+    with pytest.raises(LogServiceError):
+        asyncio.run(directory.load())
--- a/tests/dataplane/test_members.py
+++ b/tests/dataplane/test_members.py
@@ -7,7 +7,10 @@
 from dataplane_values import make_record
 from dataplane_values import NAMES
 from turmericrouter_dataplane.decision_log import DecisionLog
+from turmericrouter_dataplane.era_watch import EraWatch
+from turmericrouter_dataplane.frames import Heartbeat
 from turmericrouter_dataplane.frames import HostRecord
+from turmericrouter_dataplane.frames import Introduction
 from turmericrouter_dataplane.frames import Status
 from turmericrouter_dataplane.frames import Suspicion
 from turmericrouter_dataplane.gate import Gate
@@ -15,6 +18,7 @@
 from turmericrouter_dataplane.links import LinkServer
 from turmericrouter_dataplane.members import Members
 from turmericrouter_dataplane.policy.crash_records import CrashRecords
+from turmericrouter_dataplane.policy.log_era import LogEra
 from turmericrouter_dataplane.policy.retry_budget import RetryBudget
 from turmericrouter_dataplane.policy.target_chooser import TargetChooser
 from turmericrouter_dataplane.policy.workspace_quota import WorkspaceQuota
@@ -43,6 +47,7 @@
         budget=RetryBudget(ratio=0.2, slack=10),
         crash_records=CrashRecords(),
         config=config,
+        era_watch=EraWatch(LogEra(), log),
         log=log,
     )
     return members, chooser
@@ -183,3 +188,61 @@
         assert chooser.views['far'].is_linked
 
     asyncio.run(work())
+
+
+class _RecordingLink:
+    """Link that keeps the frames sent on it."""
+
+    is_open = True
+
+    def __init__(self, peer: str = '') -> None:
+        self.peer = peer
+        self.sent: list[object] = []
+
+    def send(self, frame: object) -> None:
+        self.sent.append(frame)
+
+
+def test_rise_of_the_era_is_learned_from_a_peer() -> None:
+    """Guards against a host that never hears that its record is lost."""
+
+    async def work() -> None:
+        members, _ = make_members('own')
+        rises: list[bool] = []
+        members._era_watch.on_rise = rises.append
+        link: Any = _RecordingLink()
+        far = make_record('far')
+        members.handle(link, Status(far, 1))
+        members.handle(link, Status(far, 1, log_era=1))
+        assert not rises
+        members.handle(link, Heartbeat(1, 0, 0, log_era=2))
+        members.handle(link, Heartbeat(1, 0, 0, log_era=1))
+        members.handle(link, Heartbeat(1, 0, 0))
+        assert rises == [False]
+        members.stop()
+
+    asyncio.run(work())
+
+
+def test_starting_host_learns_of_hosts_that_the_log_lost() -> None:
+    """Guards against hosts that start just after a return and stay unknown."""
+
+    async def work() -> None:
+        members, _ = make_members('own')
+        members.add(make_record('lost'))
+        members._era_watch.observe_log(1)
+        known: Any = _RecordingLink()
+        members.handle(known, Status(make_record('known'), 1))
+        introductions = [f for f in known.sent if isinstance(f, Introduction)]
+        assert not introductions
+        members._era_watch.observe_log(2)
+        again: Any = _RecordingLink()
+        members.handle(again, Status(make_record('known'), 1))
+        (introduction,) = [
+            f for f in again.sent if isinstance(f, Introduction)
+        ]
+        names = {record.name for record in introduction.hosts}
+        assert names == {'own', 'lost', 'known'}
+        members.stop()
+
+    asyncio.run(work())
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -8,13 +8,17 @@
 from collections.abc import Callable
 import json
 import pathlib
+import signal
 
+from platform_fleet import Fleet
+from platform_fleet import Host
 from platform_fleet import make_config
 from platform_fleet import run_fleet
 
 # A confirmed configuration is in force within this time.
 _APPLY_S = 4.0
 _RISEN = 'log_era_risen'
+_HOSTS = 'keyed.turmeric-hosts'
 
 
 def _renamed_routes() -> dict[str, list[object]]:
@@ -54,3 +58,86 @@
             await _until(lambda: bool(fleet.hosts[0].log_lines(_RISEN)))
 
     asyncio.run(work())
+
+
+def _stored_hosts(fleet: Fleet) -> dict[str, bytes]:
+    return dict(fleet.store.records.get(_HOSTS, []))
+
+
+def _restore_noticed(fleet: Fleet, copy: dict[str, int]) -> None:
+    """Return to a copy; the operator's next record shows the new era."""
+    published = fleet.store.records['keyed.op'][copy['keyed.op'] :]
+    fleet.store.restore(copy)
+    for key, value in published:
+        fleet.store.put('keyed.op', key, value)
+    fleet.store.put('keyed.op', 'foreign', b'value')
+
+
+async def _restart_all(hosts: list[Host]) -> None:
+    for host in hosts:
+        host.send_signal(signal.SIGKILL)
+    for host in hosts:
+        await host.wait_for_exit()
+        host.launch()
+
+
+def test_departure_outlives_the_return_and_a_restart(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a left target that the older copy brings back.
+
+    The copy has the record of before its departure. After the return all
+    daemons restart at once, so no peer remembers the departure.
+    """
+
+    async def work() -> None:
+        services = ('design', 'works', 'works')
+        async with run_fleet(tmp_path, services) as fleet:
+            entry, leaving = fleet.hosts[0], fleet.hosts[1]
+            await _until(lambda: len(_stored_hosts(fleet)) == 3)
+            await asyncio.sleep(0.5)
+            copy = fleet.store.copy()
+            leaving.upstream.stop_announcing()
+            await leaving.upstream.depart()
+            await _until(lambda: fleet.store.copy()[_HOSTS] > copy[_HOSTS])
+            departed = _stored_hosts(fleet)[leaving.name]
+            _restore_noticed(fleet, copy)
+            await _until(
+                lambda: _stored_hosts(fleet)[leaving.name] == departed
+            )
+            runs = len(leaving.upstream.runs)
+            await _restart_all(fleet.hosts)
+            for host in fleet.hosts:
+                await fleet.wait_for_status(host, '/read/1')
+            await fleet.wait_for_status(entry, '/open/1')
+            for number in range(10):
+                await fleet.request(entry, f'/open/{number}')
+                await fleet.request(leaving, f'/open/{number}')
+            assert len(leaving.upstream.runs) == runs
+
+    asyncio.run(work())
+
+
+def test_no_host_stays_unknown_after_the_return(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a host that the store lost and nobody learns of.
+
+    The copy has no record of the second host. Another host starts after the
+    return and must know all, and be known.
+    """
+
+    async def work() -> None:
+        async with run_fleet(tmp_path) as fleet:
+            await _until(lambda: len(_stored_hosts(fleet)) == 2)
+            copy = fleet.store.copy() | {_HOSTS: 0}
+            _restore_noticed(fleet, copy)
+            await _until(lambda: len(_stored_hosts(fleet)) == 2)
+            late = Host('host-late', 'works', fleet.store.port, tmp_path)
+            fleet.hosts.append(late)
+            late.launch()
+            await late.upstream.start()
+            for host in fleet.hosts:
+                await fleet.wait_for_targets(host)
+
+    asyncio.run(work())
