Keep hosts whose records the log may have lost

Cause: a silent host without a record in the log counted as gone. After a return of the log from an older copy that includes hosts that are cut off, with their whole failure domain, and cannot write again. Forgetting them lets a minority count as a majority, so a workspace's tokens get two owners.

Ruled out: find_reachable, which counts a silent domain as long as its hosts are known.

Before and after: on the code before, test_host_directory.py:: test_cut_off_domain_is_not_forgotten_after_a_return fails with 'assert not ['far', 'far']'; it passes now.

Conclusion: a record counts as removed if the log has held it in its present era, or ten minutes after the return. Without a loss nothing changes.

--- a/packages/dataplane/src/turmericrouter_dataplane/host_directory.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/host_directory.py
@@ -1,6 +1,7 @@
 """Records of the hosts in the platform's log."""
 
 from collections.abc import Callable
+import time
 
 from turmericrouter_core.errors import LogServiceError
 from turmericrouter_core.errors import ProtocolError
@@ -13,6 +14,7 @@
 from turmericrouter_dataplane.log_service import Stream
 from turmericrouter_dataplane.members import Members
 from turmericrouter_dataplane.policy.log_era import LogEra
+from turmericrouter_dataplane.policy.log_era import RecordedHosts
 
 
 class HostDirectory:
@@ -38,6 +40,7 @@
         self._log = log
         self._stored_value = b''
         self._stored_era = 0
+        self._recorded = RecordedHosts()
 
     async def load(
         self, on_own: Callable[[HostRecord], None] = lambda record: None
@@ -73,7 +76,9 @@
             else:
                 self._members.add(record)
         self._members.mark_directory_loaded()
-        self._remove_missing({item.key for item in page.records})
+        self._remove_missing(
+            frozenset(item.key for item in page.records), page.era
+        )
 
     async def store(self) -> bool:
         """Write the record of this host if it has changed or may be lost.
@@ -107,10 +112,12 @@
             return False
         return True
 
-    def _remove_missing(self, present: set[str]) -> None:
-        """Remove silent hosts whose record is gone."""
-        for name in self._members.silent_hosts(
+    def _remove_missing(self, present: frozenset[str], era: int) -> None:
+        """Remove silent hosts whose record has been removed."""
+        silent = self._members.silent_hosts(
             3 * self._members.silence_timeout_s
+        )
+        for name in self._recorded.find_removed(
+            present, self._era.resolve(era), silent, time.monotonic()
         ):
-            if name not in present:
-                self._members.remove(name)
+            self._members.remove(name)
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/log_era.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/log_era.py
@@ -5,9 +5,13 @@
 acknowledgements hold only within the era that they come from.
 """
 
+from collections.abc import Iterable
 import dataclasses
 
 UNKNOWN_ERA = -1
+# A host that is cut off from the log cannot write its record again. Without a
+# record it is kept for this long, which outlasts partitions.
+_LOST_RECORD_GRACE_S = 600.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -18,6 +22,45 @@
     era: int
 
 
+class RecordedHosts:
+    """The hosts whose records the log has held since it last lost any."""
+
+    def __init__(self) -> None:
+        self._names: frozenset[str] = frozenset()
+        self._era = UNKNOWN_ERA
+        self._since = 0.0
+
+    def find_removed(
+        self,
+        present: frozenset[str],
+        era: int,
+        silent: Iterable[str],
+        now: float,
+    ) -> list[str]:
+        """Return the silent hosts whose records have been removed.
+
+        A record that the log of a later era has not held may have been lost
+        with the return, and its host may be cut off with its whole failure
+        domain. Forgetting it would let a minority count as a majority.
+
+        Args:
+            present: Hosts whose records the log holds.
+            era: Era of the log.
+            silent: Hosts that have sent nothing for a while.
+            now: Monotonic seconds.
+        """
+        if era != self._era:
+            self._names, self._era, self._since = frozenset(), era, now
+        may_be_lost = era > 0 and now - self._since < _LOST_RECORD_GRACE_S
+        removed = [
+            host
+            for host in silent
+            if host not in present and (host in self._names or not may_be_lost)
+        ]
+        self._names |= present
+        return removed
+
+
 class LogEra:
     """The newest era of the log that this host knows of."""
 
--- a/tests/dataplane/test_host_directory.py
+++ b/tests/dataplane/test_host_directory.py
@@ -23,6 +23,8 @@
         self.added: list[str] = []
         self.silence_timeout_s = 2.0
         self.is_loaded = False
+        self.silent: list[str] = []
+        self.removed: list[str] = []
 
     def add(self, record: HostRecord) -> None:
         self.added.append(record.name)
@@ -31,7 +33,10 @@
         self.is_loaded = True
 
     def silent_hosts(self, longer_than_s: float) -> list[str]:
-        return []
+        return self.silent
+
+    def remove(self, host: str) -> None:
+        self.removed.append(host)
 
 
 class _Log:
@@ -160,3 +165,28 @@
     era.observe(2)
     with pytest.raises(LogServiceError):
         asyncio.run(directory.load())
+
+
+def test_cut_off_domain_is_not_forgotten_after_a_return() -> None:
+    """Guards against a minority that counts as a majority.
+
+    The log lost the record of a host that is cut off and cannot write it.
+    """
+    directory, service, era = _make_directory()
+    members: Any = directory._members
+    service.record = KeyedRecord('far', encode_record(make_record('far')))
+    asyncio.run(directory.load())
+    members.silent = ['far']
+    service.era = 2
+    service.record = None
+    era.observe(2)
+    asyncio.run(directory.load())
+    asyncio.run(directory.load())
+    assert not members.removed
+    # It writes its record again; later the record is removed.
+    service.record = KeyedRecord('far', encode_record(make_record('far')))
+    asyncio.run(directory.load())
+    assert not members.removed
+    service.record = None
+    asyncio.run(directory.load())
+    assert members.removed == ['far']
--- a/tests/dataplane/test_log_era.py
+++ b/tests/dataplane/test_log_era.py
@@ -2,6 +2,7 @@
 
 from turmericrouter_dataplane.policy.log_era import LogEra
 from turmericrouter_dataplane.policy.log_era import LogPosition
+from turmericrouter_dataplane.policy.log_era import RecordedHosts
 from turmericrouter_dataplane.policy.log_era import UNKNOWN_ERA
 
 
@@ -34,3 +35,17 @@
     assert era.holds(position)
     era.observe(3)
     assert not era.holds(position)
+
+
+def test_host_without_a_record_is_gone_if_nothing_was_lost() -> None:
+    """Guards against hosts that stay for good in a log without a loss."""
+    recorded = RecordedHosts()
+    assert recorded.find_removed(frozenset('a'), 0, 'b', 0.0) == ['b']
+
+
+def test_host_without_a_record_is_gone_long_after_a_return() -> None:
+    """Guards against hosts that stay for good after a return."""
+    recorded = RecordedHosts()
+    assert not recorded.find_removed(frozenset('a'), 1, 'b', 0.0)
+    assert not recorded.find_removed(frozenset('a'), 1, 'b', 500.0)
+    assert recorded.find_removed(frozenset('a'), 1, 'b', 601.0) == ['b']
