Ask the peers for their version before a start serves callers

Cause: a daemon that starts after the return of the store from an older copy read an older configuration and served with it, keys that have been withdrawn since included, until a peer had sent the newer one.

Ruled out: the configuration that peers send to a host that lags, which arrives only after the first callers; its first status often finds no link to answer on.

Conclusion: a daemon is ready and serves once the linked peers have told their version, after 1 s without any answer, and waits up to 3 s for a newer version that a peer has told. Requests meanwhile get 503, config-stale. The probes of silent hosts move out of members.py, which has grown.

--- a/packages/dataplane/src/turmericrouter_dataplane/application.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/application.py
@@ -45,6 +45,7 @@
 from turmericrouter_dataplane.policy.workspace_quota import WorkspaceQuota
 from turmericrouter_dataplane.settings import Address
 from turmericrouter_dataplane.settings import Settings
+from turmericrouter_dataplane.start_guard import StartGuard
 from turmericrouter_dataplane.supervisor import supervise
 from turmericrouter_dataplane.timers import TimerService
 from turmericrouter_dataplane.token_exchange import TokenExchange
@@ -182,6 +183,14 @@
         )
         self._members.on_grant = self._exchange.handle_grant
         self._dispatcher = self._make_dispatcher()
+        self._start_guard = StartGuard(
+            members=self._members,
+            config=self._config,
+            put_in_force=self._put_in_force,
+            timers=self._timers,
+            log=self._log,
+        )
+        self._members.on_peer_version = self._start_guard.record_version
         self._announcements = Announcements(self._target_changed, self._log)
         self._members.on_target_left = self._restore_departure
         self._callers = HttpServer(self._dispatcher, self._record_bad_request)
@@ -211,7 +220,7 @@
     @property
     def is_ready(self) -> bool:
         """Return whether callers may be routed to this daemon."""
-        return self._config.version >= 0 and not self._stopping.is_set()
+        return self._start_guard.may_serve and not self._stopping.is_set()
 
     async def run(self) -> None:
         """Serve until a stop signal arrives, then drain and close."""
@@ -312,6 +321,7 @@
 
     def _start_timers(self) -> None:
         every = self._timers.every
+        self._start_guard.start()
         every(HEARTBEAT_PERIOD_S, self._members.send_heartbeat, name='publish')
         every(_LINK_CHECK_PERIOD_S, self._members.check_links, name='links')
         every(_LOG_FLUSH_PERIOD_S, self._log.flush, name='log')
@@ -334,6 +344,7 @@
         while True:
             try:
                 await self._directory.load(self._restore_target)
+                self._start_guard.record_directory()
                 break
             except LogServiceError as error:
                 self._log.event('hosts_not_loaded', error=str(error))
@@ -402,6 +413,11 @@
         self._record_changed.set()
 
     def _apply_config(self, config: FleetConfig) -> None:
+        # Peers ask for tokens as soon as they have a link.
+        self._quota.configure(config.workspaces, self._timers.now())
+        self._start_guard.apply(config)
+
+    def _put_in_force(self, config: FleetConfig) -> None:
         self._dispatcher.set_config(config)
         self._callers.limits = config.limits
 
--- a/packages/dataplane/src/turmericrouter_dataplane/members.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/members.py
@@ -21,7 +21,6 @@
 from turmericrouter_dataplane.frames import Outcome
 from turmericrouter_dataplane.frames import Status
 from turmericrouter_dataplane.frames import Suspicion
-from turmericrouter_dataplane.frames import SUSPICION_REVISION
 from turmericrouter_dataplane.frames import TokenGrant
 from turmericrouter_dataplane.frames import TokenHandover
 from turmericrouter_dataplane.frames import TokenRequest
@@ -40,6 +39,7 @@
 from turmericrouter_dataplane.policy.watchers import choose_watchers
 from turmericrouter_dataplane.policy.watchers import WatchedHosts
 from turmericrouter_dataplane.policy.workspace_quota import WorkspaceQuota
+from turmericrouter_dataplane.silence_probes import SilenceProbes
 
 HEARTBEAT_PERIOD_S = 1.0
 # Fleet size that a starting host assumes until it has read the directory, so
@@ -100,6 +100,8 @@
         self.is_leaving = False
         # Called with the record of this host if its target has left.
         self.on_target_left: Callable[[HostRecord], None] = lambda record: None
+        # Called with the name of a peer and the version in force there.
+        self.on_peer_version: Callable[[str, int], None] = lambda *_: None
         self.on_grant: Callable[[TokenGrant], None] = lambda grant: None
         self._handlers: dict[type, Callable[[Link, Any], None]] = {
             Dispatch: self._handle_dispatch,
@@ -118,6 +120,9 @@
         self._watched = WatchedHosts(
             _SILENCE_TIMEOUT_PERIODS * HEARTBEAT_PERIOD_S
         )
+        self._probes = SilenceProbes(
+            chooser=chooser, pool=self._pool, watched=self._watched, log=log
+        )
         self._sharing = ConfigSharing(
             record.name,
             config=config,
@@ -157,6 +162,10 @@
         """Return the number of links that can be used."""
         return len(self._pool.open_links())
 
+    def linked_peers(self) -> list[str]:
+        """Return the peers whose links can be used."""
+        return [link.peer for link in self._pool.open_links()]
+
     def link_of(self, host: str) -> Link | None:
         """Return the open link to a host."""
         return self._pool.get(host)
@@ -303,33 +312,23 @@
         for link in self._pool.open_links():
             link.send_encoded(status)
 
+    def send_status(self, host: str) -> None:
+        """Send the status of this host to one peer."""
+        link = self._pool.get(host)
+        if link is not None:
+            link.send(self._status())
+
     def check_links(self) -> None:
         """Close dead links, and avoid hosts whose links are suspect."""
         now = time.monotonic()
         self._pool.check(now)
         self._update_reachable(now)
-        self._report_silent_hosts(now)
+        self._probes.report_silent_hosts(now)
         for peer in self._pool.suspects(now):
             view = self._chooser.views.get(peer)
             if view is not None:
                 view.avoid_until = now + _SUSPECT_PAUSE_S
 
-    def _report_silent_hosts(self, now: float) -> None:
-        """Probe the links to silent hosts, and let all peers do the same."""
-        for host in self._watched.take_silent(now):
-            self._log.event('host_suspected', peer=host)
-            self._probe_host(host, now)
-            report = encode_frame(Suspicion(host))
-            for link in self._pool.open_links():
-                view = self._chooser.views.get(link.peer)
-                if view is not None and view.protocol >= SUSPICION_REVISION:
-                    link.send_encoded(report)
-
-    def _probe_host(self, host: str, now: float) -> None:
-        link = self._pool.get(host)
-        if link is not None:
-            link.probe(now)
-
     def report_crash(self, digest: int, target_id: str) -> None:
         """Record and broadcast that a request has crashed the target."""
         self._log.event(
@@ -372,7 +371,7 @@
             now = time.monotonic()
             self._update_reachable(now)
             if link.timed_out:
-                self._probe_domain(view.record.domain, now)
+                self._probes.probe_domain(view.record.domain, now)
         self._log.event('link_lost', peer=link.peer)
 
     def handle(self, link: Link, frame: Frame) -> None:
@@ -465,7 +464,7 @@
         self._update_load(view, heartbeat, now)
 
     def _handle_suspicion(self, link: Link, frame: Suspicion) -> None:
-        self._probe_host(frame.host, time.monotonic())
+        self._probes.probe_host(frame.host, time.monotonic())
 
     def _update_load(
         self, view: HostView, report: Status | Heartbeat, now: float
@@ -480,13 +479,7 @@
         self._last_seen_at[host] = now
         self._pool.reconnect(host)
         self._sharing.record_version(view.record, report.config_version, now)
-
-    def _probe_domain(self, domain: str, now: float) -> None:
-        """Probe all links to a domain after one of them has gone silent."""
-        for link in self._pool.open_links():
-            view = self._chooser.views.get(link.peer)
-            if view is not None and view.record.domain == domain:
-                link.probe(now)
+        self.on_peer_version(host, report.config_version)
 
     def _status(self) -> Status:
         return self._reports.status(self._record, is_leaving=self.is_leaving)
--- /dev/null
+++ b/tests/dataplane/test_start_check.py
@@ -0,0 +1,70 @@
+"""Guards against a start that serves what peers know to be old.
+
+And against one that waits for peers that cannot answer.
+"""
+
+from turmericrouter_dataplane.policy.start_check import NEWER_VERSION_TIMEOUT_S
+from turmericrouter_dataplane.policy.start_check import PEER_TIMEOUT_S
+from turmericrouter_dataplane.policy.start_check import StartCheck
+
+
+def test_host_without_peers_serves_at_once() -> None:
+    """Guards against a single host that waits for others."""
+    check = StartCheck()
+    assert not check.update(-1, 0, (), 0.0)
+    assert not check.update(4, 0, (), 0.0)
+    check.record_directory()
+    assert check.update(4, 0, (), 0.0)
+
+
+def test_host_serves_without_an_answer_after_the_timeout() -> None:
+    """Guards against a start that depends on peers."""
+    check = StartCheck()
+    check.record_directory()
+    assert not check.update(4, 9, (), 5.0)
+    assert not check.update(4, 9, ('a',), 5.0 + 0.9 * PEER_TIMEOUT_S)
+    assert check.update(4, 9, ('a',), 5.0 + PEER_TIMEOUT_S)
+
+
+def test_each_linked_peer_is_asked() -> None:
+    """Guards against a start after the first answer, which may be old too."""
+    check = StartCheck()
+    check.record_directory()
+    check.record_version('a', 4, 0.0)
+    assert not check.update(4, 9, ('a', 'b'), 0.0)
+    check.record_version('b', 4, 0.01)
+    assert not check.update(4, 9, ('a', 'b'), 0.02)
+    assert check.update(4, 9, ('a', 'b'), 0.06)
+
+
+def test_majority_of_answers_suffices_at_once() -> None:
+    """Guards against a slower restart while all peers answer."""
+    check = StartCheck()
+    check.record_version('a', 4, 0.0)
+    check.record_version('b', 4, 0.0)
+    assert check.update(4, 3, ('a', 'b'), 0.0)
+
+
+def test_many_answers_suffice_while_links_open() -> None:
+    """Guards against a start that waits for each link of a large fleet."""
+    check = StartCheck()
+    for number in range(16):
+        check.record_version(f'peer-{number}', 4, 0.0)
+    assert check.update(4, 194, ('slow',), 0.1)
+
+
+def test_newer_version_of_a_peer_is_awaited() -> None:
+    """Guards against withdrawn keys that a restarted host accepts."""
+    check = StartCheck()
+    check.record_version('a', 7, 0.0)
+    assert not check.update(4, 1, ('a',), 0.0)
+    assert not check.update(4, 1, ('a',), 0.9 * NEWER_VERSION_TIMEOUT_S)
+    assert check.update(7, 1, ('a',), 0.9 * NEWER_VERSION_TIMEOUT_S)
+
+
+def test_newer_version_that_does_not_arrive_is_not_awaited_for_good() -> None:
+    """Guards against a host that never serves."""
+    check = StartCheck()
+    check.record_version('a', 7, 0.0)
+    assert not check.update(4, 1, ('a',), 0.0)
+    assert check.update(4, 1, ('a',), NEWER_VERSION_TIMEOUT_S)
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -10,6 +10,8 @@
 import pathlib
 import signal
 
+import aiohttp
+
 from platform_fleet import Fleet
 from platform_fleet import Host
 from platform_fleet import make_config
@@ -141,3 +143,44 @@
                 await fleet.wait_for_targets(host)
 
     asyncio.run(work())
+
+
+def test_restart_after_the_return_accepts_no_withdrawn_key(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a start that serves the configuration of the copy.
+
+    The version that withdrew the key is lost until the operator writes it
+    again; the other hosts have it in force.
+    """
+
+    async def work() -> None:
+        services = ('design', 'works', 'design')
+        async with run_fleet(tmp_path, services) as fleet:
+            restarted = fleet.hosts[0]
+            copy = fleet.store.copy()
+            document = make_config(version=2)
+            document['tenants']['rows'][0][1] = ['another']
+            fleet.publish(document)
+            for host in fleet.hosts:
+                await fleet.wait_for_status(host, '/read/1', 401)
+            await asyncio.sleep(0.6)
+            restarted.send_signal(signal.SIGKILL)
+            await restarted.wait_for_exit()
+            fleet.store.restore(copy)
+            restarted.launch()
+            statuses = set()
+            async with asyncio.timeout(_APPLY_S):
+                while 401 not in statuses:
+                    try:
+                        answer = await fleet.request(restarted, '/read/1')
+                        statuses.add(answer[0])
+                    except aiohttp.ClientError:
+                        pass
+                    await asyncio.sleep(0.002)
+            assert statuses <= {401, 503}
+            assert (await fleet.request(restarted, '/read/1', key='another'))[
+                0
+            ] == 200
+
+    asyncio.run(work())
