Let the log of the later era decide between two documents

Cause: a version that the store lost with its return is given out again for another document. Hosts that had applied the first kept it, as the version was no newer; other hosts had the second.

Ruled out: older versions, which never replace a newer one.

Before and after: on the code before, test_restored_store.py:: test_version_given_out_again_replaces_the_lost_document fails with TimeoutError after 4 s, and test_config_feed.py:: test_version_that_was_lost_may_name_another_document with "assert b'3' == b'3 of another'"; both pass now.

Conclusion: at the same version the document that the log held in the later era wins, at log readers and, through an era in the copies, at other hosts. A host that misses the copy keeps the lost document until the next version, as statuses tell only the version.

--- a/packages/dataplane/src/turmericrouter_dataplane/config_feed.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/config_feed.py
@@ -13,8 +13,10 @@
 from turmericrouter_dataplane.log_service import LogService
 from turmericrouter_dataplane.log_service import RecordPage
 from turmericrouter_dataplane.log_service import Stream
+from turmericrouter_dataplane.policy.config_order import may_supersede
 from turmericrouter_dataplane.policy.log_era import LogEra
 from turmericrouter_dataplane.policy.log_era import LogPosition
+from turmericrouter_dataplane.policy.log_era import UNKNOWN_ERA
 
 # Longest wait of one read for a change. A connection that has gone silent is
 # noticed only after it.
@@ -68,6 +70,8 @@
         self._refused_document = b''
         self.version = -1
         self.document = b''
+        # Newest era of the log that held the document.
+        self.document_era = UNKNOWN_ERA
         self.applied_at = 0.0
 
     @property
@@ -111,8 +115,19 @@
         """
         self._era_risen.set()
 
-    def offer(self, document: bytes, source: str) -> None:
-        """Apply a document unless it is older or not valid."""
+    def offer(
+        self, document: bytes, source: str, era: int = UNKNOWN_ERA
+    ) -> None:
+        """Apply a document unless it is older or not valid.
+
+        Args:
+            document: The document as it was published.
+            source: Where it comes from, for the decision log.
+            era: Era of the log that held it, if known.
+        """
+        if document == self.document:
+            self.document_era = max(self.document_era, era)
+            return
         try:
             config = self._decode(document)
         except ConfigError as error:
@@ -125,21 +140,32 @@
                     version=self.version,
                 )
             return
-        if config.version <= self.version:
+        if not self.may_supersede(config.version, era):
             return
         before, self.version = self.version, config.version
         self.document = document
+        self.document_era = era
         self.applied_at = time.monotonic()
         self._apply(config)
         self._log.event(
             'config_applied',
             version=config.version,
             before=before,
+            era=era,
             source=source,
             routes=len(config.routes),
             workspaces=len(config.workspaces),
         )
 
+    def may_supersede(self, version: int, era: int) -> bool:
+        """Return whether another document may replace the one in force."""
+        return may_supersede(
+            version,
+            era,
+            current_version=self.version,
+            current_era=self.document_era,
+        )
+
     async def _read(self, position: LogPosition | None) -> RecordPage:
         if position is not None and self._era.holds(position):
             page = await self._poll(position)
@@ -172,11 +198,12 @@
             era_risen.cancel()
 
     def _apply_page(self, page: RecordPage) -> None:
-        before = self.version
+        before = self.document
+        era = self._era.resolve(page.era)
         for record in page.records:
             if record.key == CONFIG_KEY and record.value:
-                self.offer(record.value, 'log')
-        if self.version > before:
+                self.offer(record.value, 'log', era)
+        if self.document != before:
             self.on_read()
 
     def _log_lost(self, error: LogServiceError) -> None:
--- a/packages/dataplane/src/turmericrouter_dataplane/config_sharing.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/config_sharing.py
@@ -129,4 +129,5 @@
         return self._host in bootstrap_peers
 
     def _copy(self) -> ConfigCopy:
-        return ConfigCopy(self._config.version, self._config.document)
+        config = self._config
+        return ConfigCopy(config.version, config.document, config.document_era)
--- a/packages/dataplane/src/turmericrouter_dataplane/frames.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/frames.py
@@ -162,10 +162,17 @@
 
 
 class ConfigCopy(msgspec.Struct, frozen=True, array_like=True, tag=5):
-    """A configuration as the operator published it."""
+    """A configuration as the operator published it.
+
+    Args:
+        version: Its version.
+        document: The document.
+        era: Newest era of the log that held it; -1 if unknown.
+    """
 
     version: int
     document: bytes
+    era: int = _UNKNOWN_ERA
 
 
 class Probe(msgspec.Struct, frozen=True, array_like=True, tag=6):
--- a/packages/dataplane/src/turmericrouter_dataplane/members.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/members.py
@@ -386,8 +386,8 @@
             self._gate.cancel(job)
 
     def _handle_config(self, link: Link, frame: ConfigCopy) -> None:
-        if frame.version > self._config.version:
-            self._config.offer(frame.document, 'peer')
+        if self._config.may_supersede(frame.version, frame.era):
+            self._config.offer(frame.document, 'peer', frame.era)
 
     def _handle_crash_report(self, link: Link, frame: CrashReport) -> None:
         self._crash_records.add(
--- a/tests/dataplane/test_config_feed.py
+++ b/tests/dataplane/test_config_feed.py
@@ -4,6 +4,8 @@
 import random
 from typing import Any
 
+import pytest
+
 from turmericrouter_core.errors import LogServiceError
 from turmericrouter_dataplane.config_feed import ConfigFeed
 from turmericrouter_dataplane.log_service import KeyedRecord
@@ -52,7 +54,7 @@
     log: Any = _Log()
 
     def decode(document: bytes) -> Any:
-        return _Config(int(document))
+        return _Config(int(document.split()[0]))
 
     return ConfigFeed(
         log_service,
@@ -238,3 +240,37 @@
 
     asyncio.run(work())
     assert feed.version == 9
+
+
+def test_version_that_was_lost_may_name_another_document() -> None:
+    """Guards against hosts that keep a document that the log has lost."""
+    era = LogEra()
+    log = _RestoredLog(era)
+    feed = _make_feed(log, era)
+    copies: list[bytes] = []
+    feed.on_read = lambda: copies.append(feed.document)
+    asyncio.run(_run_across(feed, log, b'1', b'3 of another', b'0', b'0'))
+    assert feed.document == b'3 of another'
+    assert copies == [b'3', b'3 of another']
+
+
+@pytest.mark.parametrize(
+    ('document', 'era', 'is_applied'),
+    [
+        (b'5 other', 2, True),
+        (b'5 other', 1, False),
+        (b'5 other', 0, False),
+        (b'5 other', -1, False),
+        (b'4 other', 2, False),
+        (b'6 other', 0, True),
+    ],
+)
+def test_document_of_a_later_era_wins_at_the_same_version(
+    document: bytes, era: int, is_applied: bool
+) -> None:
+    """Guards against versions that go back, and late copies of a lost one."""
+    feed = _make_feed(_LogService())
+    feed.offer(b'5', 'peer', 0)
+    feed.offer(b'5', 'log', 1)
+    feed.offer(document, 'peer', era)
+    assert (feed.document == document) is is_applied
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -184,3 +184,31 @@
             ] == 200
 
     asyncio.run(work())
+
+
+def test_version_given_out_again_replaces_the_lost_document(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against hosts that keep a document that the store has lost.
+
+    Another publisher gives the lost version to another document. One host of
+    three does not read the log, and gets it from the readers.
+    """
+
+    async def work() -> None:
+        services = ('design', 'works', 'design')
+        async with run_fleet(tmp_path, services) as fleet:
+            copy = fleet.store.copy()
+            fleet.publish(make_config(version=2))
+            async with asyncio.timeout(_APPLY_S):
+                for host in fleet.hosts:
+                    while await fleet.gauge(host, 'config_version') < 2:
+                        await asyncio.sleep(0.05)
+            fleet.store.restore(copy)
+            fleet.publish(make_config(version=2, routes=_renamed_routes()))
+            fleet.store.put('keyed.op', 'foreign', b'value')
+            async with asyncio.timeout(_APPLY_S):
+                for host in fleet.hosts:
+                    await fleet.wait_for_status(host, '/renamed/1')
+
+    asyncio.run(work())
