Test that hosts hear of the return from the log readers

Cause: the test of the lost records had two hosts, which both read the log.

Ruled out: nothing further.

Conclusion: hosts that make no call themselves write again too.

--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -16,9 +16,11 @@
 from platform_fleet import Host
 from platform_fleet import make_config
 from platform_fleet import run_fleet
+from turmericrouter_dataplane.config_feed import LONG_POLL_S
 
 # A confirmed configuration is in force within this time.
 _APPLY_S = 4.0
+_QUIET_AFTER_S = LONG_POLL_S + 1.0
 _RISEN = 'log_era_risen'
 _HOSTS = 'keyed.turmeric-hosts'
 
@@ -125,16 +127,26 @@
 ) -> None:
     """Guards against a host that the store lost and nobody learns of.
 
-    The copy has no record of the second host. Another host starts after the
-    return and must know all, and be known.
+    The copy has no record of any host. Two hosts of four read the log, the
+    others hear of its return from them. Another host starts after the return
+    and must know all, and be known.
     """
 
     async def work() -> None:
-        async with run_fleet(tmp_path) as fleet:
-            await _until(lambda: len(_stored_hosts(fleet)) == 2)
+        services = ('design', 'works', 'design', 'works')
+        async with run_fleet(tmp_path, services) as fleet:
+            await _until(lambda: len(_stored_hosts(fleet)) == 4)
+            # By then hosts without the duty to read have ended the reads of
+            # their start, and make no call by themselves for a while.
+            await asyncio.sleep(_QUIET_AFTER_S)
             copy = fleet.store.copy() | {_HOSTS: 0}
             _restore_noticed(fleet, copy)
-            await _until(lambda: len(_stored_hosts(fleet)) == 2)
+            await _until(lambda: len(_stored_hosts(fleet)) == 4)
+            await _until(
+                lambda: all(host.log_lines(_RISEN) for host in fleet.hosts)
+            )
+            sources = [host.log_lines(_RISEN)[0] for host in fleet.hosts]
+            assert sum("source='peer'" in line for line in sources) >= 2
             late = Host('host-late', 'works', fleet.store.port, tmp_path)
             fleet.hosts.append(late)
             late.launch()
