--- a/packages/dataplane/src/turmericrouter_dataplane/application.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/application.py
@@ -19,6 +19,7 @@
 from turmericrouter_dataplane.decision_log import STDOUT_FD
 from turmericrouter_dataplane.dispatcher import Dispatcher
 from turmericrouter_dataplane.drain import Drain
+from turmericrouter_dataplane.era_watch import EraWatch
 from turmericrouter_dataplane.fleet_config import FleetConfig
 from turmericrouter_dataplane.frames import HostRecord
 from turmericrouter_dataplane.gate import Gate
@@ -37,12 +38,14 @@
 from turmericrouter_dataplane.metrics import Metrics
 from turmericrouter_dataplane.policy.crash_records import CrashRecords
 from turmericrouter_dataplane.policy.downstream_load import DownstreamLoad
+from turmericrouter_dataplane.policy.log_era import LogEra
 from turmericrouter_dataplane.policy.retry_budget import RetryBudget
 from turmericrouter_dataplane.policy.target_chooser import TargetChooser
 from turmericrouter_dataplane.policy.target_chooser import TargetState
 from turmericrouter_dataplane.policy.workspace_quota import WorkspaceQuota
 from turmericrouter_dataplane.settings import Address
 from turmericrouter_dataplane.settings import Settings
+from turmericrouter_dataplane.start_guard import StartGuard
 from turmericrouter_dataplane.supervisor import supervise
 from turmericrouter_dataplane.timers import TimerService
 from turmericrouter_dataplane.token_exchange import TokenExchange
@@ -57,6 +60,9 @@
 # The first write of the host record waits this long for the announcement of
 # the target, which saves a second write.
 _FIRST_ANNOUNCEMENT_TIMEOUT_S = 1.8
+# Hosts write their records again at this rate after a loss of the log, all
+# together; the log refuses calls beyond some hundreds a second.
+_REWRITES_PER_S = 100.0
 # Time for the links to send their last data.
 _LINK_CLOSE_S = 0.02
 # Idle caller connections are closed this long after the idle timeout, within
@@ -149,16 +155,25 @@
             deployment.headers, self._timers, self._log, self._report_crash
         )
         self._log_service = deployment.log_service(settings.log_service)
+        self._era = LogEra()
+        self._era_watch = EraWatch(self._era, self._log)
+        self._era_watch.on_rise = self._handle_era_rise
+        self._log_service.on_era = self._era_watch.observe_log
         decode: ConfigDecoder = deployment.decode_config
         self._config = ConfigFeed(
-            self._log_service, decode, self._apply_config, self._log, self._rng
+            self._log_service,
+            self._era,
+            decode,
+            self._apply_config,
+            self._log,
+            self._rng,
         )
         self._members = self._make_members()
         self._config.is_reader = self._members.is_log_reader
         self._config.on_read = self._members.copy_config
         self._config.on_connection_change = self._members.broadcast_status
         self._directory = HostDirectory(
-            self._log_service, self._members, self._log
+            self._log_service, self._era, self._members, self._log
         )
         self._exchange = TokenExchange(
             self._quota,
@@ -168,6 +183,14 @@
         )
         self._members.on_grant = self._exchange.handle_grant
         self._dispatcher = self._make_dispatcher()
+        self._start_guard = StartGuard(
+            members=self._members,
+            config=self._config,
+            put_in_force=self._put_in_force,
+            timers=self._timers,
+            log=self._log,
+        )
+        self._members.on_peer_version = self._start_guard.record_version
         self._announcements = Announcements(self._target_changed, self._log)
         self._members.on_target_left = self._restore_departure
         self._callers = HttpServer(self._dispatcher, self._record_bad_request)
@@ -205,7 +228,7 @@
     @property
     def is_ready(self) -> bool:
         """Return whether callers may be routed to this daemon."""
-        return self._config.version >= 0 and not self._stopping.is_set()
+        return self._start_guard.may_serve and not self._stopping.is_set()
 
     async def run(self) -> None:
         """Serve until a stop signal arrives, then drain and close."""
@@ -245,6 +268,7 @@
             budget=self._budget,
             crash_records=self._crash_records,
             config=self._config,
+            era_watch=self._era_watch,
             log=self._log,
         )
 
@@ -306,6 +330,7 @@
 
     def _start_timers(self) -> None:
         every = self._timers.every
+        self._start_guard.start()
         every(HEARTBEAT_PERIOD_S, self._members.send_heartbeat, name='publish')
         every(_LINK_CHECK_PERIOD_S, self._members.check_links, name='links')
         every(_LOG_FLUSH_PERIOD_S, self._log.flush, name='log')
@@ -328,6 +353,7 @@
         while True:
             try:
                 await self._directory.load(self._restore_target)
+                self._start_guard.record_directory()
                 break
             except LogServiceError as error:
                 self._log.event('hosts_not_loaded', error=str(error))
@@ -396,9 +422,25 @@
         self._record_changed.set()
 
     def _apply_config(self, config: FleetConfig) -> None:
+        # Peers ask for tokens as soon as they have a link.
+        self._quota.configure(config.workspaces, self._timers.now())
+        self._start_guard.apply(config)
+
+    def _put_in_force(self, config: FleetConfig) -> None:
         self._dispatcher.set_config(config)
         self._callers.limits = config.limits
 
+    def _handle_era_rise(self, is_from_log: bool) -> None:
+        """Write again what the log may have lost, and inform the peers."""
+        self._config.handle_era_rise()
+        if is_from_log:
+            self._members.broadcast_status()
+        spread_s = (self._members.peers + 1) / _REWRITES_PER_S
+        self._timers.at(
+            self._timers.now() + spread_s * self._rng.random(),
+            self._record_changed.set,
+        )
+
     def _report_crash(self, digest: int, target_id: str) -> None:
         self._members.report_crash(digest, target_id)
 
--- a/packages/dataplane/src/turmericrouter_dataplane/config_feed.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/config_feed.py
@@ -13,6 +13,10 @@
 from turmericrouter_dataplane.log_service import LogService
 from turmericrouter_dataplane.log_service import RecordPage
 from turmericrouter_dataplane.log_service import Stream
+from turmericrouter_dataplane.policy.config_order import may_supersede
+from turmericrouter_dataplane.policy.log_era import LogEra
+from turmericrouter_dataplane.policy.log_era import LogPosition
+from turmericrouter_dataplane.policy.log_era import UNKNOWN_ERA
 
 # Longest wait of one read for a change. A connection that has gone silent is
 # noticed only after it.
@@ -34,6 +38,7 @@
 
     Args:
         log_service: The platform's log.
+        era: Newest known era of the log.
         decode: Reads a published document; raises `ConfigError`.
         apply: Applies a configuration.
         log: Decision log.
@@ -43,12 +48,15 @@
     def __init__(
         self,
         log_service: LogService,
+        era: LogEra,
         decode: ConfigDecoder,
         apply: Callable[[FleetConfig], None],
         log: DecisionLog,
         rng: random.Random,
     ) -> None:
         self._log_service = log_service
+        self._era = era
+        self._era_risen = asyncio.Event()
         self._decode = decode
         self._apply = apply
         self._log = log
@@ -62,6 +70,8 @@
         self._refused_document = b''
         self.version = -1
         self.document = b''
+        # Newest era of the log that held the document.
+        self.document_era = UNKNOWN_ERA
         self.applied_at = 0.0
 
     @property
@@ -72,38 +82,52 @@
     async def run(self) -> None:
         """Follow the stream until the task is cancelled."""
         pause_s = _INITIAL_PAUSE_S
-        start: int | None = None
+        position: LogPosition | None = None
         while True:
             if self.version >= 0 and not self.is_reader():
-                start = None
+                position = None
                 await asyncio.sleep(_DUTY_CHECK_PERIOD_S)
                 continue
             try:
-                if start is None:
-                    page = await self._log_service.read_newest(
-                        Stream.CONFIGURATION
-                    )
-                else:
-                    page = await self._log_service.read(
-                        Stream.CONFIGURATION, start, LONG_POLL_S
-                    )
+                page = await self._read(position)
             except HistoryLostError:
-                start = None
+                position = None
                 continue
             except LogServiceError as error:
                 self._log_lost(error)
                 await asyncio.sleep(pause_s * (0.5 + self._rng.random()))
                 pause_s = min(_MAX_PAUSE_S, pause_s * 2)
                 # Records may have been dropped in the meantime.
-                start = None
+                position = None
                 continue
             pause_s = _INITIAL_PAUSE_S
             self._log_regained()
-            start = page.next_offset
+            position = LogPosition(
+                page.next_offset, self._era.resolve(page.era)
+            )
             self._apply_page(page)
 
-    def offer(self, document: bytes, source: str) -> None:
-        """Apply a document unless it is older or not valid."""
+    def handle_era_rise(self) -> None:
+        """End the read in progress, and begin anew with the newest records.
+
+        The read may wait at an offset above the records that are written
+        again, until it times out.
+        """
+        self._era_risen.set()
+
+    def offer(
+        self, document: bytes, source: str, era: int = UNKNOWN_ERA
+    ) -> None:
+        """Apply a document unless it is older or not valid.
+
+        Args:
+            document: The document as it was published.
+            source: Where it comes from, for the decision log.
+            era: Era of the log that held it, if known.
+        """
+        if document == self.document:
+            self.document_era = max(self.document_era, era)
+            return
         try:
             config = self._decode(document)
         except ConfigError as error:
@@ -116,27 +140,70 @@
                     version=self.version,
                 )
             return
-        if config.version <= self.version:
+        if not self.may_supersede(config.version, era):
             return
         before, self.version = self.version, config.version
         self.document = document
+        self.document_era = era
         self.applied_at = time.monotonic()
         self._apply(config)
         self._log.event(
             'config_applied',
             version=config.version,
             before=before,
+            era=era,
             source=source,
             routes=len(config.routes),
             workspaces=len(config.workspaces),
         )
 
+    def may_supersede(self, version: int, era: int) -> bool:
+        """Return whether another document may replace the one in force."""
+        return may_supersede(
+            version,
+            era,
+            current_version=self.version,
+            current_era=self.document_era,
+        )
+
+    async def _read(self, position: LogPosition | None) -> RecordPage:
+        if position is not None and self._era.holds(position):
+            page = await self._poll(position)
+            if self._era.resolve(page.era) != position.era:
+                raise HistoryLostError('the offset is of another era')
+            return page
+        page = await self._log_service.read_newest(Stream.CONFIGURATION)
+        if self._era.is_stale(page.era):
+            raise LogServiceError('the answer is of an earlier era')
+        self._era_risen.clear()
+        return page
+
+    async def _poll(self, position: LogPosition) -> RecordPage:
+        """Wait for records after a position, until the era rises."""
+        read = asyncio.ensure_future(
+            self._log_service.read(
+                Stream.CONFIGURATION, position.offset, LONG_POLL_S
+            )
+        )
+        era_risen = asyncio.ensure_future(self._era_risen.wait())
+        try:
+            await asyncio.wait(
+                {read, era_risen}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not read.done():
+                raise HistoryLostError('the era of the log has risen')
+            return read.result()
+        finally:
+            read.cancel()
+            era_risen.cancel()
+
     def _apply_page(self, page: RecordPage) -> None:
-        before = self.version
+        before = self.document
+        era = self._era.resolve(page.era)
         for record in page.records:
             if record.key == CONFIG_KEY and record.value:
-                self.offer(record.value, 'log')
-        if self.version > before:
+                self.offer(record.value, 'log', era)
+        if self.document != before:
             self.on_read()
 
     def _log_lost(self, error: LogServiceError) -> None:
--- a/packages/dataplane/src/turmericrouter_dataplane/members.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/members.py
@@ -7,6 +7,7 @@
 from turmericrouter_dataplane.config_feed import ConfigFeed
 from turmericrouter_dataplane.config_sharing import ConfigSharing
 from turmericrouter_dataplane.decision_log import DecisionLog
+from turmericrouter_dataplane.era_watch import EraWatch
 from turmericrouter_dataplane.frames import Cancel
 from turmericrouter_dataplane.frames import ConfigCopy
 from turmericrouter_dataplane.frames import CrashReport
@@ -18,15 +19,14 @@
 from turmericrouter_dataplane.frames import HostRecord
 from turmericrouter_dataplane.frames import Introduction
 from turmericrouter_dataplane.frames import Outcome
-from turmericrouter_dataplane.frames import PROTOCOL_REVISION
 from turmericrouter_dataplane.frames import Status
 from turmericrouter_dataplane.frames import Suspicion
-from turmericrouter_dataplane.frames import SUSPICION_REVISION
 from turmericrouter_dataplane.frames import TokenGrant
 from turmericrouter_dataplane.frames import TokenHandover
 from turmericrouter_dataplane.frames import TokenRequest
 from turmericrouter_dataplane.gate import Gate
 from turmericrouter_dataplane.gate_job import GateJob
+from turmericrouter_dataplane.host_reports import HostReports
 from turmericrouter_dataplane.links import Link
 from turmericrouter_dataplane.links import LinkPool
 from turmericrouter_dataplane.policy.crash_records import CrashRecords
@@ -39,6 +39,7 @@
 from turmericrouter_dataplane.policy.watchers import choose_watchers
 from turmericrouter_dataplane.policy.watchers import WatchedHosts
 from turmericrouter_dataplane.policy.workspace_quota import WorkspaceQuota
+from turmericrouter_dataplane.silence_probes import SilenceProbes
 
 HEARTBEAT_PERIOD_S = 1.0
 # Fleet size that a starting host assumes until it has read the directory, so
@@ -64,6 +65,7 @@
         budget: Retry budget.
         crash_records: Records of poison requests, which crash targets.
         config: Configuration in force.
+        era_watch: Collects the eras of the log that peers report.
         log: Decision log.
     """
 
@@ -77,6 +79,7 @@
         budget: RetryBudget,
         crash_records: CrashRecords,
         config: ConfigFeed,
+        era_watch: EraWatch,
         log: DecisionLog,
     ) -> None:
         self._record = record
@@ -86,6 +89,8 @@
         self._budget = budget
         self._crash_records = crash_records
         self._config = config
+        self._era_watch = era_watch
+        self._reports = HostReports(gate, config, era_watch)
         self._log = log
         self._pool = LinkPool(self)
         self._jobs: dict[Link, dict[int, GateJob]] = {}
@@ -95,6 +100,8 @@
         self.is_leaving = False
         # Called with the record of this host if its target has left.
         self.on_target_left: Callable[[HostRecord], None] = lambda record: None
+        # Called with the name of a peer and the version in force there.
+        self.on_peer_version: Callable[[str, int], None] = lambda *_: None
         self.on_grant: Callable[[TokenGrant], None] = lambda grant: None
         self._handlers: dict[type, Callable[[Link, Any], None]] = {
             Dispatch: self._handle_dispatch,
@@ -113,12 +120,16 @@
         self._watched = WatchedHosts(
             _SILENCE_TIMEOUT_PERIODS * HEARTBEAT_PERIOD_S
         )
+        self._probes = SilenceProbes(
+            chooser=chooser, pool=self._pool, watched=self._watched, log=log
+        )
         self._sharing = ConfigSharing(
             record.name,
             config=config,
             chooser=chooser,
             pool=self._pool,
             watched=self._watched,
+            era_watch=era_watch,
         )
         self._watchers: frozenset[str] = frozenset()
         self._watcher_candidates: frozenset[str] = frozenset()
@@ -151,6 +162,10 @@
         """Return the number of links that can be used."""
         return len(self._pool.open_links())
 
+    def linked_peers(self) -> list[str]:
+        """Return the peers whose links can be used."""
+        return [link.peer for link in self._pool.open_links()]
+
     def link_of(self, host: str) -> Link | None:
         """Return the open link to a host."""
         return self._pool.get(host)
@@ -255,22 +270,18 @@
         if is_due:
             self._heartbeat_sent_at = now
         watchers = self._update_watchers(links)
-        watched = self._heartbeat(is_watched=True)
-        plain = self._heartbeat(is_watched=False) if is_due else b''
+        watched = encode_frame(self._reports.heartbeat(is_watched=True))
+        plain = (
+            encode_frame(self._reports.heartbeat(is_watched=False))
+            if is_due
+            else b''
+        )
         for link in links:
             if link.peer in watchers:
                 link.send_encoded(watched)
             elif is_due:
                 link.send_encoded(plain)
 
-    def _heartbeat(self, *, is_watched: bool) -> bytes:
-        gate = self._gate
-        return encode_frame(
-            Heartbeat(
-                self._config.version, gate.running, gate.waiting, is_watched
-            )
-        )
-
     def _update_watchers(self, links: list[Link]) -> frozenset[str]:
         """Return the watchers of this host among the linked peers."""
         linked = frozenset(link.peer for link in links)
@@ -301,33 +312,23 @@
         for link in self._pool.open_links():
             link.send_encoded(status)
 
+    def send_status(self, host: str) -> None:
+        """Send the status of this host to one peer."""
+        link = self._pool.get(host)
+        if link is not None:
+            link.send(self._status())
+
     def check_links(self) -> None:
         """Close dead links, and avoid hosts whose links are suspect."""
         now = time.monotonic()
         self._pool.check(now)
         self._update_reachable(now)
-        self._report_silent_hosts(now)
+        self._probes.report_silent_hosts(now)
         for peer in self._pool.suspects(now):
             view = self._chooser.views.get(peer)
             if view is not None:
                 view.avoid_until = now + _SUSPECT_PAUSE_S
 
-    def _report_silent_hosts(self, now: float) -> None:
-        """Probe the links to silent hosts, and let all peers do the same."""
-        for host in self._watched.take_silent(now):
-            self._log.event('host_suspected', peer=host)
-            self._probe_host(host, now)
-            report = encode_frame(Suspicion(host))
-            for link in self._pool.open_links():
-                view = self._chooser.views.get(link.peer)
-                if view is not None and view.protocol >= SUSPICION_REVISION:
-                    link.send_encoded(report)
-
-    def _probe_host(self, host: str, now: float) -> None:
-        link = self._pool.get(host)
-        if link is not None:
-            link.probe(now)
-
     def report_crash(self, digest: int, target_id: str) -> None:
         """Record and broadcast that a request has crashed the target."""
         self._log.event(
@@ -370,7 +371,7 @@
             now = time.monotonic()
             self._update_reachable(now)
             if link.timed_out:
-                self._probe_domain(view.record.domain, now)
+                self._probes.probe_domain(view.record.domain, now)
         self._log.event('link_lost', peer=link.peer)
 
     def handle(self, link: Link, frame: Frame) -> None:
@@ -385,8 +386,8 @@
             self._gate.cancel(job)
 
     def _handle_config(self, link: Link, frame: ConfigCopy) -> None:
-        if frame.version > self._config.version:
-            self._config.offer(frame.document, 'peer')
+        if self._config.may_supersede(frame.version, frame.era):
+            self._config.offer(frame.document, 'peer', frame.era)
 
     def _handle_crash_report(self, link: Link, frame: CrashReport) -> None:
         self._crash_records.add(
@@ -434,11 +435,14 @@
     def _handle_status(self, link: Link, status: Status) -> None:
         record = status.host
         now = time.monotonic()
+        is_first = self._peer_names.get(link) != record.name
         self._peer_names[link] = record.name
         self._remove_predecessors(record)
-        if record.name not in self._chooser.views:
+        is_new = record.name not in self._chooser.views
+        if is_new:
             self.add(record)
-            self._sharing.introduce(record.name, status.config_version)
+        if is_new or (is_first and self._era_watch.is_repairing):
+            self._sharing.introduce(record.name, status.config_version, link)
         view = self._chooser.update(record)
         self._pool.connect(record.name, record.address)
         if view.record.state != record.state:
@@ -460,12 +464,13 @@
         self._update_load(view, heartbeat, now)
 
     def _handle_suspicion(self, link: Link, frame: Suspicion) -> None:
-        self._probe_host(frame.host, time.monotonic())
+        self._probes.probe_host(frame.host, time.monotonic())
 
     def _update_load(
         self, view: HostView, report: Status | Heartbeat, now: float
     ) -> None:
         """Update a host with the fields that status and heartbeat share."""
+        self._era_watch.observe_peer(report.log_era)
         view.last_seen_at = now
         view.running = report.running
         view.waiting = report.waiting
@@ -474,23 +479,7 @@
         self._last_seen_at[host] = now
         self._pool.reconnect(host)
         self._sharing.record_version(view.record, report.config_version, now)
-
-    def _probe_domain(self, domain: str, now: float) -> None:
-        """Probe all links to a domain after one of them has gone silent."""
-        for link in self._pool.open_links():
-            view = self._chooser.views.get(link.peer)
-            if view is not None and view.record.domain == domain:
-                link.probe(now)
+        self.on_peer_version(host, report.config_version)
 
     def _status(self) -> Status:
-        gate = self._gate
-        return Status(
-            self._record,
-            self._config.version,
-            gate.running,
-            gate.waiting,
-            gate.limit,
-            self.is_leaving,
-            PROTOCOL_REVISION,
-            self._config.is_connected,
-        )
+        return self._reports.status(self._record, is_leaving=self.is_leaving)
