Move the synchronisation with the directory out of the application

Cause: application.py wires the parts and also had the loop that loads the hosts' records from the log and stores the own one, with its two events and its delays. The loop could be run only by whole daemons, so no unit test covered a failed load, a failed write or the spread after a loss.

Ruled out: moving the loop into HostDirectory, whose tests call load and store one by one; a type of its own for the directory, as only the tests have a second one.

The delays get names; random numbers are drawn in the same order.

Conclusion: behaviour and log events are unchanged, and tests cover the loop without daemons.

--- a/packages/dataplane/src/turmericrouter_dataplane/application.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/application.py
@@ -8,7 +8,6 @@
 import time
 from typing import Protocol
 
-from turmericrouter_core.errors import LogServiceError
 from turmericrouter_core.errors import SettingsError
 from turmericrouter_dataplane.announcements import Announcements
 from turmericrouter_dataplane.announcements import InvalidAnnouncement
@@ -17,6 +16,7 @@
 from turmericrouter_dataplane.config_feed import ConfigFeed
 from turmericrouter_dataplane.decision_log import DecisionLog
 from turmericrouter_dataplane.decision_log import STDOUT_FD
+from turmericrouter_dataplane.directory_sync import DirectorySync
 from turmericrouter_dataplane.dispatcher import Dispatcher
 from turmericrouter_dataplane.drain import Drain
 from turmericrouter_dataplane.era_watch import EraWatch
@@ -54,15 +54,6 @@
 _LOG_FLUSH_PERIOD_S = 0.25
 _SWEEP_PERIOD_S = 1.0
 _SETTINGS_CHECK_PERIOD_S = 2.0
-_DIRECTORY_LOAD_PERIOD_S = 20.0
-# The same for hosts that do not follow the log; a new host dials them itself.
-_RARE_DIRECTORY_LOAD_PERIOD_S = 60.0
-# The first write of the host record waits this long for the announcement of
-# the target, which saves a second write.
-_FIRST_ANNOUNCEMENT_TIMEOUT_S = 1.8
-# Hosts write their records again at this rate after a loss of the log, all
-# together; the log refuses calls beyond some hundreds a second.
-_REWRITES_PER_S = 100.0
 # Time for the links to send their last data.
 _LINK_CLOSE_S = 0.02
 # Idle caller connections are closed this long after the idle timeout, within
@@ -172,9 +163,6 @@
         self._config.is_reader = self._members.is_log_reader
         self._config.on_read = self._members.copy_config
         self._config.on_connection_change = self._members.broadcast_status
-        self._directory = HostDirectory(
-            self._log_service, self._era, self._members, self._log
-        )
         self._exchange = TokenExchange(
             self._quota,
             self._timers,
@@ -191,6 +179,7 @@
             log=self._log,
         )
         self._members.on_peer_version = self._start_guard.record_version
+        self._directory_sync = self._make_directory_sync()
         self._announcements = Announcements(self._target_changed, self._log)
         self._members.on_target_left = self._restore_departure
         self._callers = HttpServer(self._dispatcher, self._record_bad_request)
@@ -220,8 +209,6 @@
             log=self._log,
         )
         self._tasks: list[asyncio.Task[None]] = []
-        self._target_known = asyncio.Event()
-        self._record_changed = asyncio.Event()
         self._stopping = asyncio.Event()
         self._stop_reason = ''
 
@@ -293,6 +280,20 @@
             rng=self._rng,
         )
 
+    def _make_directory_sync(self) -> DirectorySync:
+        directory = HostDirectory(
+            self._log_service, self._era, self._members, self._log
+        )
+        return DirectorySync(
+            directory,
+            restore_target=self._restore_target,
+            on_first_load=self._start_guard.record_directory,
+            is_log_reader=self._members.is_log_reader,
+            timers=self._timers,
+            log=self._log,
+            rng=self._rng,
+        )
+
     async def _start(self) -> None:
         settings = self._settings
         os.set_blocking(STDOUT_FD, False)
@@ -317,7 +318,7 @@
             asyncio.create_task(supervise(name, work, self._log))
             for name, work in (
                 ('config', self._config.run),
-                ('directory', self._sync_directory),
+                ('directory', self._directory_sync.run),
             )
         ]
         self._log.event(
@@ -348,50 +349,6 @@
         self._timers.stop()
         self._log.flush()
 
-    async def _sync_directory(self) -> None:
-        """Load the records of other hosts and store the record of this one."""
-        while True:
-            try:
-                await self._directory.load(self._restore_target)
-                self._start_guard.record_directory()
-                break
-            except LogServiceError as error:
-                self._log.event('hosts_not_loaded', error=str(error))
-                await asyncio.sleep(0.3 + 0.4 * self._rng.random())
-        try:
-            async with asyncio.timeout(_FIRST_ANNOUNCEMENT_TIMEOUT_S):
-                await self._target_known.wait()
-        except TimeoutError:
-            self._log.event('target_not_announced')
-        next_load_at = 0.0
-        while True:
-            self._record_changed.clear()
-            is_stored = await self._directory.store()
-            now = self._timers.now()
-            if not next_load_at:
-                # The first load may miss a host that started at the same time.
-                next_load_at = now + 1.0
-            wait_s = max(0.1, next_load_at - now) if is_stored else 0.5
-            try:
-                async with asyncio.timeout(wait_s):
-                    await self._record_changed.wait()
-            except TimeoutError:
-                if is_stored:
-                    next_load_at = await self._reload_directory()
-
-    async def _reload_directory(self) -> float:
-        try:
-            await self._directory.load()
-        except LogServiceError as error:
-            self._log.event('hosts_not_loaded', error=str(error))
-        spread = 0.8 + 0.4 * self._rng.random()
-        period_s = (
-            _DIRECTORY_LOAD_PERIOD_S
-            if self._members.is_log_reader()
-            else _RARE_DIRECTORY_LOAD_PERIOD_S
-        )
-        return self._timers.now() + period_s * spread
-
     def _restore_target(self, record: HostRecord) -> None:
         """Restore the target from the host record stored before a restart."""
         if not record.target_id or not record.target_address:
@@ -418,8 +375,7 @@
         self._members.update_own_record(
             _with_target(self._members.record, target)
         )
-        self._target_known.set()
-        self._record_changed.set()
+        self._directory_sync.handle_target_change()
 
     def _apply_config(self, config: FleetConfig) -> None:
         # Peers ask for tokens as soon as they have a link.
@@ -435,11 +391,7 @@
         self._config.handle_era_rise()
         if is_from_log:
             self._members.broadcast_status()
-        spread_s = (self._members.peers + 1) / _REWRITES_PER_S
-        self._timers.at(
-            self._timers.now() + spread_s * self._rng.random(),
-            self._record_changed.set,
-        )
+        self._directory_sync.schedule_rewrite(self._members.peers + 1)
 
     def _report_crash(self, digest: int, target_id: str) -> None:
         self._members.report_crash(digest, target_id)
