Move the reload of settings out of the application

Cause: application.py compared, loaded and reported changed settings beside its own job, and only a test with real daemons covered a refused file.

Ruled out: reading the first settings in the new class as well, since the log that it writes to needs the name of the host first.

Deployment inherits the two calls for settings from SettingsSource.

--- a/packages/dataplane/src/turmericrouter_dataplane/application.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/application.py
@@ -1,14 +1,12 @@
 """The daemon of the request path: wires its parts, starts and stops them."""
 
 import asyncio
-import dataclasses
 import os
 import random
 import signal
 import time
 from typing import Protocol
 
-from turmericrouter_core.errors import SettingsError
 from turmericrouter_dataplane.announcements import Announcements
 from turmericrouter_dataplane.announcements import InvalidAnnouncement
 from turmericrouter_dataplane.announcements import TargetDeparture
@@ -45,6 +43,8 @@
 from turmericrouter_dataplane.policy.workspace_quota import WorkspaceQuota
 from turmericrouter_dataplane.settings import Address
 from turmericrouter_dataplane.settings import Settings
+from turmericrouter_dataplane.settings_reload import SettingsReload
+from turmericrouter_dataplane.settings_reload import SettingsSource
 from turmericrouter_dataplane.start_guard import StartGuard
 from turmericrouter_dataplane.supervisor import supervise
 from turmericrouter_dataplane.timers import TimerService
@@ -60,36 +60,12 @@
 # which callers may reuse them.
 _IDLE_CLOSE_MARGIN_S = 1.0
 
-# Settings that take effect only after a restart.
-_RESTART_SETTINGS = frozenset(
-    {
-        'host',
-        'domain',
-        'callers',
-        'ready',
-        'control',
-        'peers',
-        'advertised',
-        'metrics',
-    }  # fmt: skip
-)
-
-
-class Deployment(Protocol):
+
+class Deployment(SettingsSource, Protocol):
     """The formats and calls of the platform that the daemon runs on."""
 
     headers: HeaderNames
 
-    def load_settings(self) -> Settings:
-        """Read the settings.
-
-        Raises:
-            SettingsError: The settings are invalid.
-        """
-
-    def settings_fingerprint(self) -> object:
-        """Return a value that changes whenever the settings change."""
-
     def decode_config(self, document: bytes) -> FleetConfig:
         """Decode a published configuration.
 
@@ -127,10 +103,11 @@
     def __init__(self, deployment: Deployment) -> None:
         self._deployment = deployment
         settings = deployment.load_settings()
-        self._settings = settings
-        self._settings_fingerprint = deployment.settings_fingerprint()
         self._rng = random.Random()
         self._log = DecisionLog(settings.host)
+        self._settings_reload = SettingsReload(
+            deployment, settings, self._apply_settings, self._log
+        )
         self._timers = TimerService(self._log_timer_failure)
         self._metrics = Metrics()
         self._chooser = TargetChooser(
@@ -240,7 +217,7 @@
         )
 
     def _make_members(self) -> Members:
-        settings = self._settings
+        settings = self._settings_reload.settings
         record = HostRecord(
             settings.host,
             str(settings.advertised),
@@ -260,7 +237,7 @@
         )
 
     def _make_dispatcher(self) -> Dispatcher:
-        settings = self._settings
+        settings = self._settings_reload.settings
         return Dispatcher(
             host=settings.host,
             service=settings.service,
@@ -295,7 +272,7 @@
         )
 
     async def _start(self) -> None:
-        settings = self._settings
+        settings = self._settings_reload.settings
         os.set_blocking(STDOUT_FD, False)
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(
@@ -304,7 +281,9 @@
         loop.add_signal_handler(
             signal.SIGINT, self._handle_stop_signal, 'SIGINT'
         )
-        loop.add_signal_handler(signal.SIGHUP, self._reload_settings, 'SIGHUP')
+        loop.add_signal_handler(
+            signal.SIGHUP, self._settings_reload.reload, 'SIGHUP'
+        )
         await self._links.start(settings.peers.ip, settings.peers.port)
         await self._callers.start(settings.callers.ip, settings.callers.port)
         await self._control.start(settings.control.ip, settings.control.port)
@@ -336,10 +315,15 @@
         every(_LINK_CHECK_PERIOD_S, self._members.check_links, name='links')
         every(_LOG_FLUSH_PERIOD_S, self._log.flush, name='log')
         every(_SWEEP_PERIOD_S, self._sweep, name='sweep')
-        every(_SETTINGS_CHECK_PERIOD_S, self._check_settings, name='settings')
+        every(
+            _SETTINGS_CHECK_PERIOD_S,
+            self._settings_reload.check,
+            name='settings',
+        )
 
     async def _stop(self) -> None:
-        await self._drain.run(self._stop_reason, self._settings.stop_within_s)
+        settings = self._settings_reload.settings
+        await self._drain.run(self._stop_reason, settings.stop_within_s)
         for task in self._tasks:
             task.cancel()
         self._links.stop()
@@ -412,43 +396,12 @@
         self._stop_reason = name
         self._stopping.set()
 
-    def _check_settings(self) -> None:
-        if (
-            self._deployment.settings_fingerprint()
-            != self._settings_fingerprint
-        ):
-            self._reload_settings('changed')
-
-    def _reload_settings(self, cause: str) -> None:
-        """Apply changed settings, or keep the old ones if they are invalid."""
-        before = self._settings
-        try:
-            self._settings_fingerprint = (
-                self._deployment.settings_fingerprint()
-            )
-            settings = self._deployment.load_settings()
-        except SettingsError as error:
-            self._log.event('settings_refused', cause=cause, error=str(error))
-            return
-        changed = [
-            field.name
-            for field in dataclasses.fields(Settings)
-            if getattr(before, field.name) != getattr(settings, field.name)
-        ]
-        self._settings = settings
+    def _apply_settings(self, settings: Settings) -> None:
         self._log_service.set_address(settings.log_service)
         self._dispatcher.set_service(settings.service)
         self._budget.set_limits(
             ratio=settings.retry_ratio, slack=settings.retry_slack
         )
-        self._log.event(
-            'reloaded',
-            cause=cause,
-            changed=','.join(changed),
-            needs_restart=','.join(
-                name for name in changed if name in _RESTART_SETTINGS
-            ),
-        )
 
     def _log_timer_failure(self, name: str, error: Exception) -> None:
         self._log.event('timer_failed', timer=name, error=repr(error))
