Define the unknown era of the log once

Cause: frames.py and policy/log_era.py each defined -1 as the unknown era, and LogEra.holds repeated what resolve does. That an era of 0 stands for a log that names none or has lost nothing was not written anywhere. The docstring of EraWatch.is_repairing could be read as a prohibition.

Ruled out: another value in the frames; hosts of both releases share links.

Conclusion: one definition, with what its values mean.

--- a/packages/dataplane/src/turmericrouter_dataplane/era_watch.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/era_watch.py
@@ -33,7 +33,7 @@
 
     @property
     def is_repairing(self) -> bool:
-        """Return whether hosts may not have written their records again."""
+        """Return whether the log may still lack records of hosts."""
         return time.monotonic() - self._risen_at < _REPAIR_S
 
     def observe_log(self, era: int) -> None:
--- a/packages/dataplane/src/turmericrouter_dataplane/frames.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/frames.py
@@ -9,15 +9,12 @@
 from turmericrouter_core.errors import ProtocolError
 from turmericrouter_core.verdict import Reason
 from turmericrouter_core.verdict import Verdict
+from turmericrouter_dataplane.policy.log_era import UNKNOWN_ERA
 
 _LENGTH = struct.Struct('>I')
 # Fits the largest body that a configuration may allow and its head.
 MAX_FRAME_BYTES = 80 * 1024 * 1024
 
-
-# Reported by a host that knows no era of the log, and by older daemons.
-_UNKNOWN_ERA = -1
-
 # Revision of the frames. A daemon closes a link on a frame that it does not
 # know, so newer frames go only to peers that report at least their revision.
 PROTOCOL_REVISION = 2
@@ -74,7 +71,7 @@
     is_leaving: bool = False
     protocol: int = 0
     reads_log: bool = True
-    log_era: int = _UNKNOWN_ERA
+    log_era: int = UNKNOWN_ERA
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag=11):
@@ -92,7 +89,7 @@
     running: int
     waiting: int
     is_watched: bool = False
-    log_era: int = _UNKNOWN_ERA
+    log_era: int = UNKNOWN_ERA
 
 
 class Dispatch(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -172,7 +169,7 @@
 
     version: int
     document: bytes
-    era: int = _UNKNOWN_ERA
+    era: int = UNKNOWN_ERA
 
 
 class Probe(msgspec.Struct, frozen=True, array_like=True, tag=6):
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/log_era.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/log_era.py
@@ -8,7 +8,12 @@
 from collections.abc import Iterable
 import dataclasses
 
+# Era of an answer that names none, and of the log before any answer named one.
+# It is part of the frames: their era has this value if the sender, which may
+# be an older daemon, knows none.
 UNKNOWN_ERA = -1
+# Era of a log that names none in its answers, or that has lost nothing yet.
+_FIRST_ERA = 0
 # A host that is cut off from the log cannot write its record again. Without a
 # record it is kept for this long, which outlasts partitions.
 _LOST_RECORD_GRACE_S = 600.0
@@ -51,7 +56,9 @@
         """
         if era != self._era:
             self._names, self._era, self._since = frozenset(), era, now
-        may_be_lost = era > 0 and now - self._since < _LOST_RECORD_GRACE_S
+        may_be_lost = (
+            era > _FIRST_ERA and now - self._since < _LOST_RECORD_GRACE_S
+        )
         removed = [
             host
             for host in silent
@@ -85,7 +92,7 @@
 
     def resolve(self, era: int) -> int:
         """Return the era of an answer; one that names none has the newest."""
-        return max(self._current, 0) if era == UNKNOWN_ERA else era
+        return max(self._current, _FIRST_ERA) if era == UNKNOWN_ERA else era
 
     def is_stale(self, era: int) -> bool:
         """Return whether an answer of this era was made before a loss."""
@@ -93,4 +100,4 @@
 
     def holds(self, position: LogPosition) -> bool:
         """Return whether an offset can still be read from."""
-        return position.era == max(self._current, 0)
+        return position.era == self.resolve(UNKNOWN_ERA)
