Name what answers, statuses and reports really mean

Cause: HttpResponse.is_attributed promised certainty that is_repeated_id then took back. `is_last` was true of answers after which another one may follow. Members._update_load had come to record eras, versions and links too, and `is_first` did not say the first of what. find_workspace cut the key at 7, the length of a constant beside it.

Ruled out: one flag for both doubts about an answer, since a success with a repeated id is passed on and a refusal is not.

Conclusion: names and docstrings state what the code does.

--- a/packages/dataplane/src/turmericrouter_dataplane/call_factory.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/call_factory.py
@@ -23,9 +23,10 @@
     table: RouteTable, authorization: bytes
 ) -> Workspace | None:
     """Return the workspace of a bearer key, None if there is none."""
-    if authorization[:7].lower() != _BEARER:
+    scheme, key = authorization[: len(_BEARER)], authorization[len(_BEARER) :]
+    if scheme.lower() != _BEARER:
         return None
-    return table.find_workspace(authorization[7:].strip())
+    return table.find_workspace(key.strip())
 
 
 class CallFactory:
@@ -99,12 +100,14 @@
 
 
 def _rank(workspace: Workspace, route: Route) -> int:
+    """Return the rank at gates; nested calls come before it, with rank 0."""
     level = min(workspace.priority, _PRIORITY_LEVELS - 1) * _PRIORITY_LEVELS
     level += min(route.priority, _PRIORITY_LEVELS - 1)
     return min(1 + level, RANK_COUNT - 1)
 
 
 def _digest(request: HttpRequest, workspace: str) -> int:
+    """Return a number of 63 bits that names equal requests of a workspace."""
     digest = xxhash.xxh3_64_intdigest(
         b'%b %b %b %b'
         % (workspace.encode(), request.method, request.target, request.body)
--- a/packages/dataplane/src/turmericrouter_dataplane/http_client.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/http_client.py
@@ -42,10 +42,10 @@
         head: Status line and the headers that may be forwarded.
         headers: All headers by lower-case name.
         body: Complete body without transfer coding.
-        is_attributed: Whether the answer certainly belongs to the request:
-            it has its id, or is the first on its connection.
+        is_attributed: Whether the answer has the id of the request, or is
+            the first final answer on its connection.
         is_repeated_id: Whether an earlier request on the connection had the
-            same id, so that the answer may be the one to that request.
+            same id, so that even an attributed answer may be the one to it.
     """
 
     __slots__ = (
@@ -299,8 +299,8 @@
         is_attributed = bool(echoed) or self._answer_count == 1
         # The request's own answer may follow one that is not certainly it.
         is_certain = is_attributed and not self._is_repeated_id
-        is_last = bool(self._id_header) and not is_certain
-        if is_last or not self._parser.should_keep_alive():
+        may_be_followed = bool(self._id_header) and not is_certain
+        if may_be_followed or not self._parser.should_keep_alive():
             self._must_close = True
         self._read_keep_alive(headers)
         body = self._body
--- a/packages/dataplane/src/turmericrouter_dataplane/members.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/members.py
@@ -435,13 +435,13 @@
     def _handle_status(self, link: Link, status: Status) -> None:
         record = status.host
         now = time.monotonic()
-        is_first = self._peer_names.get(link) != record.name
+        is_first_status = self._peer_names.get(link) != record.name
         self._peer_names[link] = record.name
         self._remove_predecessors(record)
         is_new = record.name not in self._chooser.views
         if is_new:
             self.add(record)
-        if is_new or (is_first and self._era_watch.is_repairing):
+        if is_new or (is_first_status and self._era_watch.is_repairing):
             self._sharing.introduce(record.name, status.config_version, link)
         view = self._chooser.update(record)
         self._pool.connect(record.name, record.address)
@@ -452,7 +452,7 @@
         view.limit = status.limit
         view.protocol = status.protocol
         view.reads_log = status.reads_log
-        self._update_load(view, status, now)
+        self._handle_report(view, status, now)
 
     def _handle_heartbeat(self, link: Link, heartbeat: Heartbeat) -> None:
         host = self._peer_names.get(link, '')
@@ -461,15 +461,15 @@
             return
         now = time.monotonic()
         self._watched.record(host, now, is_watched=heartbeat.is_watched)
-        self._update_load(view, heartbeat, now)
+        self._handle_report(view, heartbeat, now)
 
     def _handle_suspicion(self, link: Link, frame: Suspicion) -> None:
         self._probes.probe_host(frame.host, time.monotonic())
 
-    def _update_load(
+    def _handle_report(
         self, view: HostView, report: Status | Heartbeat, now: float
     ) -> None:
-        """Update a host with the fields that status and heartbeat share."""
+        """Handle the fields that status and heartbeat share."""
         self._era_watch.observe_peer(report.log_era)
         view.last_seen_at = now
         view.running = report.running
