Explain constants and docstrings of the latest work

Cause: some comments could be understood only with their history: what the ids of the gate miss, what "more bytes" of a caller does, why a start sends its status twice, what "it does not" of a docstring refers to.

Before and after: comments and docstrings only, and a local name for the majority in StartCheck. tests/dataplane, test_log_store, test_decoders and test_layering: 593 passed.

Conclusion: each comment gives its reason without the diff beside it.

--- a/packages/dataplane/src/turmericrouter_dataplane/config_feed.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/config_feed.py
@@ -120,6 +120,8 @@
     ) -> None:
         """Apply a document unless it is older or not valid.
 
+        The document in force is not applied again, but its era may rise.
+
         Args:
             document: The document as it was published.
             source: Where it comes from, for the decision log.
--- a/packages/dataplane/src/turmericrouter_dataplane/config_sharing.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/config_sharing.py
@@ -90,8 +90,9 @@
     def introduce(self, host: str, version: int, link: Link) -> None:
         """Send the known hosts to a peer that may not know them.
 
-        It does not if it has no configuration yet. After a return of the log
-        from an older copy, its directory may lack hosts.
+        A peer without a configuration may not have read the log yet. After a
+        return of the log from an older copy, what it reads may lack hosts.
+        Only the bootstrap peers of the peer send them.
 
         Args:
             host: Name of the peer.
--- a/packages/dataplane/src/turmericrouter_dataplane/gate.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate.py
@@ -60,7 +60,8 @@
         self._is_reachable = True
         self._queue: GateQueue[GateJob] = GateQueue(64)
         self._jobs: dict[bytes, GateJob] = {}
-        # Requests may share an id or have none, so that the ids miss some.
+        # All requests at the gate. `_jobs` may lack some of them, as requests
+        # may share an id or have none.
         self._open: set[GateJob] = set()
         self._running = 0
         self._connections = TargetConnections(headers)
--- a/packages/dataplane/src/turmericrouter_dataplane/gate_job.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate_job.py
@@ -45,7 +45,10 @@
 
     @property
     def is_local(self) -> bool:
-        """Return whether the request entered at this host."""
+        """Return whether the request entered at this host.
+
+        It has then crossed no link, on which a correlation would name it.
+        """
         return not self.frame.correlation
 
     @property
--- a/packages/dataplane/src/turmericrouter_dataplane/host_directory.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/host_directory.py
@@ -58,7 +58,8 @@
         if self._era.is_stale(page.era):
             raise LogServiceError('the answer is of an earlier era')
         own = self._members.record.name
-        # A log that lacks the record has lost it.
+        # Stays empty if the log lacks the record of this host, so that the
+        # next call of `store` writes it again.
         self._stored_value = b''
         self._stored_era = self._era.resolve(page.era)
         for item in page.records:
--- a/packages/dataplane/src/turmericrouter_dataplane/host_reports.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/host_reports.py
@@ -46,7 +46,11 @@
         )
 
     def heartbeat(self, *, is_watched: bool) -> Heartbeat:
-        """Return a heartbeat for a watcher of this host, or for another."""
+        """Return a heartbeat.
+
+        Args:
+            is_watched: Whether the receiver watches this host.
+        """
         gate = self._gate
         return Heartbeat(
             self._config.version,
--- a/packages/dataplane/src/turmericrouter_dataplane/http_server.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/http_server.py
@@ -38,8 +38,8 @@
 # on for this time after it has sent its last answer, or until the caller
 # closes it.
 _LINGER_S = 1.0
-# More bytes of one caller, or more connections of one server, are not waited
-# for.
+# A connection closes earlier once its caller has sent more than these bytes.
+# The oldest one does when more than this number of them wait at one server.
 _MAX_DISCARDED_BYTES = 8 * 1024 * 1024
 _MAX_LINGERING_CONNECTIONS = 256
 
@@ -421,7 +421,10 @@
             connection.refuse_unfinished()
 
     def add_lingering(self, connection: HttpServerConnection) -> None:
-        """Wait for the caller of a connection to close it."""
+        """Wait for the caller of a connection to close it.
+
+        If too many connections wait, the oldest one is closed.
+        """
         if len(self.lingering) >= _MAX_LINGERING_CONNECTIONS:
             self.end_lingering(next(iter(self.lingering)))
         self.lingering[connection] = time.monotonic()
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/planned_stop.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/planned_stop.py
@@ -19,12 +19,12 @@
 # A target answers at the time limit that it gets. The answer then has this
 # part of the time for closing to pass through the gate and the link.
 _ANSWER_FRACTION = 0.25
-# Requests that cross the end of the service are still refused for this time,
-# in a short stop for a part of the time for closing.
+# Requests that were sent before callers could notice the end are still refused
+# for this time, in a short stop for this part of the time for closing.
 _LINGER_S = 0.1
 _LINGER_FRACTION = 0.25
-# The rest of the time for closing after slow callers and peers have had their
-# part of it to read their answers.
+# Slow callers and peers may read their answers until this part of the time for
+# closing is left; the process needs it to exit.
 _EXIT_FRACTION = 0.4
 
 
@@ -35,7 +35,7 @@
     Args:
         started_at: The signal arrived.
         notice_ends_at: Callers and peers have noticed.
-        answers_due_at: Targets have answered what they got after the start.
+        answers_due_at: Targets have answered what they got since the signal.
         ends_at: Connections are closed.
         linger_s: Time for which requests are still refused then, in seconds.
         sent_by: Answers that callers and peers have not read are given up.
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/start_check.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/start_check.py
@@ -6,8 +6,8 @@
 
 from collections.abc import Collection
 
-# Without a word of a peer, a host that knows of others serves after this
-# time; then it is alone, or all of them have just started too.
+# A host that knows of others, none of which has answered, serves after this
+# time; then it is cut off, or all of them have just started too.
 PEER_TIMEOUT_S = 1.0
 # Time for the version that a peer has reported to arrive.
 NEWER_VERSION_TIMEOUT_S = 3.0
@@ -87,4 +87,5 @@
             host not in self._versions for host in linked
         ):
             return False
-        return 2 * answers > peers or now - self._answered_at >= _SETTLE_S
+        has_majority = 2 * answers > peers
+        return has_majority or now - self._answered_at >= _SETTLE_S
--- a/packages/dataplane/src/turmericrouter_dataplane/start_guard.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/start_guard.py
@@ -40,6 +40,7 @@
         self._log = log
         self._check = StartCheck()
         self._started_at = timers.now()
+        # Newest configuration, until it is put in force.
         self._held: FleetConfig | None = None
         self._subscription: Deadline | None = None
 
@@ -71,8 +72,9 @@
             return
         self._check.record_version(host, version, self._timers.now())
         if version > self._config.version:
-            # The first status went out before the peer had a link to send
-            # its configuration on.
+            # The peer sends its configuration to a host that reports an
+            # older version. When it got the first status of this host, it
+            # may have had no link to send it on.
             self._members.send_status(host)
 
     def _update(self) -> None:
