Convert between target and host record beside the target

Cause: application.py wrote a target into the host's record and read it back in two functions far apart, field by field, without a unit test.

Ruled out: methods of HostRecord; frames.py knows nothing of announcements.

Conclusion: behaviour is unchanged, and the pair stands in one place.

--- a/packages/dataplane/src/turmericrouter_dataplane/application.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/application.py
@@ -30,6 +30,8 @@
 from turmericrouter_dataplane.http_server import HttpServer
 from turmericrouter_dataplane.links import LinkServer
 from turmericrouter_dataplane.local_target import LocalTarget
+from turmericrouter_dataplane.local_target import target_of
+from turmericrouter_dataplane.local_target import with_target
 from turmericrouter_dataplane.log_service import LogService
 from turmericrouter_dataplane.members import HEARTBEAT_PERIOD_S
 from turmericrouter_dataplane.members import Members
@@ -39,7 +41,6 @@
 from turmericrouter_dataplane.policy.log_era import LogEra
 from turmericrouter_dataplane.policy.retry_budget import RetryBudget
 from turmericrouter_dataplane.policy.target_chooser import TargetChooser
-from turmericrouter_dataplane.policy.target_chooser import TargetState
 from turmericrouter_dataplane.policy.workspace_quota import WorkspaceQuota
 from turmericrouter_dataplane.settings import Address
 from turmericrouter_dataplane.settings import Settings
@@ -335,18 +336,9 @@
 
     def _restore_target(self, record: HostRecord) -> None:
         """Restore the target from the host record stored before a restart."""
-        if not record.target_id or not record.target_address:
-            return
-        self._announcements.restore(
-            LocalTarget(
-                record.target_id,
-                record.service,
-                Address.parse(record.target_address),
-                record.slots,
-                TargetState(record.state),
-                record.started_at_ms,
-            )
-        )
+        target = target_of(record)
+        if target is not None:
+            self._announcements.restore(target)
 
     def _restore_departure(self, record: HostRecord) -> None:
         """Apply what peers remember of the target of this host."""
@@ -357,7 +349,7 @@
     def _target_changed(self, target: LocalTarget) -> None:
         self._gate.set_target(target)
         self._members.update_own_record(
-            _with_target(self._members.record, target)
+            with_target(self._members.record, target)
         )
         self._directory_sync.handle_target_change()
 
@@ -405,17 +397,3 @@
 
     def _log_timer_failure(self, name: str, error: Exception) -> None:
         self._log.event('timer_failed', timer=name, error=repr(error))
-
-
-def _with_target(record: HostRecord, target: LocalTarget) -> HostRecord:
-    return HostRecord(
-        record.name,
-        record.address,
-        record.domain,
-        target.service,
-        target.target_id,
-        target.slots,
-        int(target.state),
-        target.started_at_ms,
-        str(target.address),
-    )
--- a/packages/dataplane/src/turmericrouter_dataplane/local_target.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/local_target.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from turmericrouter_dataplane.frames import HostRecord
 from turmericrouter_dataplane.policy.target_chooser import TargetState
 from turmericrouter_dataplane.settings import Address
 
@@ -27,3 +28,36 @@
     state: TargetState
     started_at_ms: int = 0
     sequence: int = -1
+
+
+def with_target(record: HostRecord, target: LocalTarget) -> HostRecord:
+    """Return the record of a host with its present target."""
+    return HostRecord(
+        record.name,
+        record.address,
+        record.domain,
+        target.service,
+        target.target_id,
+        target.slots,
+        int(target.state),
+        target.started_at_ms,
+        str(target.address),
+    )
+
+
+def target_of(record: HostRecord) -> LocalTarget | None:
+    """Return the target of a host's record, None if it names none.
+
+    Raises:
+        ValueError: The record has an invalid address or state.
+    """
+    if not record.target_id or not record.target_address:
+        return None
+    return LocalTarget(
+        record.target_id,
+        record.service,
+        Address.parse(record.target_address),
+        record.slots,
+        TargetState(record.state),
+        record.started_at_ms,
+    )
