Apply the limits of a configuration once

Cause: since a start holds the configuration back, the application applies the limits of workspaces itself, but Dispatcher.set_config still did so too. Each change of the configuration resized all buckets twice.

Ruled out: an effect of the second call. It got the same limits, and refilling a bucket in two steps gives the tokens of one. Changes of the hosts in between resize the buckets themselves.

Before and after: test_dispatcher, test_workspace_quota, test_owner_change and test_token_exchange pass (24). Whether a configuration takes less time now was not measured.

Conclusion: Application applies limits, Dispatcher the routes.

--- a/packages/dataplane/src/turmericrouter_dataplane/application.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/application.py
@@ -354,7 +354,8 @@
         self._directory_sync.handle_target_change()
 
     def _apply_config(self, config: FleetConfig) -> None:
-        # Peers ask for tokens as soon as they have a link.
+        # Limits apply before callers are served here, since peers ask for
+        # tokens as soon as they have a link.
         self._quota.configure(config.workspaces, self._timers.now())
         self._start_guard.apply(config)
 
--- a/packages/dataplane/src/turmericrouter_dataplane/dispatcher.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/dispatcher.py
@@ -122,7 +122,6 @@
         """Put a configuration in force."""
         self._table = RouteTable(config, self._table)
         self._refusals.config_version = config.version
-        self._quota.configure(config.workspaces, self._timers.now())
 
     def handle(self, request: HttpRequest) -> None:
         """Start to serve a request."""
