State what tests of stops and calls guard against

Cause: eight new tests named no failure. test_http_client reset a connection by itself, as scripted_target.reset does since the tests of cut answers. There are two classes ScriptedTarget, and nothing said why.

Ruled out: using the stand-ins' ScriptedTarget in test_late_answers. It takes only requests with a length and counts them over all connections, while these scripts answer by the number on each connection.

Before and after: assertions and bounds are untouched.

Conclusion: the tests say what they are for, and one function resets.

--- a/tests/dataplane/scripted_target.py
+++ b/tests/dataplane/scripted_target.py
@@ -1,4 +1,8 @@
-"""A target on the loopback address that writes what a test tells it to."""
+"""A target on the loopback address that writes what a test tells it to.
+
+Unlike the scripted target of the stand-ins, it takes requests without a
+length, and a script answers by the number of the request on its connection.
+"""
 
 import asyncio
 from collections.abc import Callable
--- a/tests/dataplane/test_call_factory.py
+++ b/tests/dataplane/test_call_factory.py
@@ -44,6 +44,7 @@
 def test_time_limit_is_the_lower_of_route_and_caller(
     sent: bytes, remaining_s: float
 ) -> None:
+    """Guards against a target that works on after its caller's time limit."""
     call = make_factory().make(
         make_request(), {b'x-left': sent}, make_route(), None, 10.0
     )
@@ -51,6 +52,7 @@
 
 
 def test_only_nested_call_has_a_parent() -> None:
+    """Guards against a caller's id that is taken for one of a nested call."""
     values = {b'x-id': b'abc.1'}
     factory = make_factory()
     nested = factory.make(make_request(), values, make_route(), None, 0.0)
@@ -63,6 +65,7 @@
 
 
 def test_workspace_is_found_by_bearer_key_only() -> None:
+    """Guards against keys of another scheme, or unknown, that are accepted."""
     table = RouteTable(make_config(workspaces=(make_workspace(),)), None)
     found = find_workspace(table, b'Bearer key-1')
     assert found is not None and found.name == 'east'
--- a/tests/dataplane/test_dispatcher.py
+++ b/tests/dataplane/test_dispatcher.py
@@ -180,6 +180,8 @@
 
 
 def test_request_whose_caller_left_does_not_hold_up_a_stop() -> None:
+    """Guards against a stop that waits for requests that nobody awaits."""
+
     async def scenario(fixture: _Fixture) -> None:
         fixture.exchange.is_slow = True
         answer = await fixture.send(stays=False)
--- a/tests/dataplane/test_gate.py
+++ b/tests/dataplane/test_gate.py
@@ -330,6 +330,8 @@
 
 
 def test_end_of_a_stop_leaves_no_request_that_still_connects() -> None:
+    """Guards against a request that is sent once its connection opens."""
+
     async def work() -> None:
         gate = make_gate()
         outcomes: list[Outcome] = []
--- a/tests/dataplane/test_http_client.py
+++ b/tests/dataplane/test_http_client.py
@@ -3,13 +3,12 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-import socket
-import struct
 from typing import Any
 from unittest import mock
 
 import pytest
 
+import scripted_target
 from turmericrouter_dataplane import http_client
 from turmericrouter_dataplane.http_client import Failure
 from turmericrouter_dataplane.http_client import HttpClientConnection
@@ -42,10 +41,7 @@
                 await writer.drain()
                 await asyncio.sleep(0.02)
             if reset:
-                sock = writer.get_extra_info('socket')
-                linger = struct.pack('ii', 1, 0)
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-                writer.transport.abort()
+                scripted_target.reset(writer)
             elif not close:
                 await reader.read()
         finally:
--- a/tests/dataplane/test_planned_stop.py
+++ b/tests/dataplane/test_planned_stop.py
@@ -31,6 +31,7 @@
 
 
 def test_without_a_stop_all_is_taken_with_its_own_limit() -> None:
+    """Guards against requests that are refused or shortened for no stop."""
     guard = StopGuard()
     assert takes(guard, 100.0, remaining_s=1e6, service_time_s=1e6)
     assert guard.limit(1e6) == 1e6
@@ -38,6 +39,7 @@
 
 
 def test_stop_ends_before_the_process_is_killed() -> None:
+    """Guards against a stop that the platform ends by killing the process."""
     times = StopTimes.plan(100.0, 6.0)
     assert times == StopTimes(100.0, 102.6, 104.75, 105.0, 0.1, 105.6)
 
@@ -108,6 +110,7 @@
 
 
 def test_only_local_requests_are_taken_after_the_notice() -> None:
+    """Guards against new work that holds up a stop, or cut nested calls."""
     guard, times = make_guard()
     now = times.notice_ends_at
     guard.end_notice()
