Name the time of late refusals in a stop

Cause: `linger_s` of StopTimes is the time for which a stop still refuses requests. In http_server.py, lingering is the usual term for a connection that reads on after its last answer, with a constant of the same name and another value.

Ruled out: other names in http_server.py; its use of the term is the common one.

Before and after: values are unchanged. test_planned_stop and test_drain_slow_readers pass.

Conclusion: lingering has one meaning.

--- a/packages/dataplane/src/turmericrouter_dataplane/drain.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/drain.py
@@ -100,7 +100,7 @@
         cut = self._dispatcher.answer_all()
         peers_cut = self._gate.answer_all()
         self._callers.close_idle(0.0)
-        await asyncio.sleep(times.linger_s)
+        await asyncio.sleep(times.late_refusal_s)
         self._callers.refuse_unfinished()
         await self._send_answers(times.sent_by)
         self._callers.close_idle(0.0)
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/planned_stop.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/planned_stop.py
@@ -21,8 +21,8 @@
 _ANSWER_FRACTION = 0.25
 # Requests that were sent before callers could notice the end are still refused
 # for this time, in a short stop for this part of the time for closing.
-_LINGER_S = 0.1
-_LINGER_FRACTION = 0.25
+_LATE_REFUSAL_S = 0.1
+_LATE_REFUSAL_FRACTION = 0.25
 # Slow callers and peers may read their answers until this part of the time for
 # closing is left; the process needs it to exit.
 _EXIT_FRACTION = 0.4
@@ -37,7 +37,8 @@
         notice_ends_at: Callers and peers have noticed.
         answers_due_at: Targets have answered what they got since the signal.
         ends_at: Connections are closed.
-        linger_s: Time for which requests are still refused then, in seconds.
+        late_refusal_s: Time for which requests are still refused then, in
+            seconds.
         sent_by: Answers that callers and peers have not read are given up.
     """
 
@@ -45,7 +46,7 @@
     notice_ends_at: float
     answers_due_at: float
     ends_at: float
-    linger_s: float
+    late_refusal_s: float
     sent_by: float
 
     @classmethod
@@ -65,7 +66,9 @@
             notice_ends_at=started_at + notice_s,
             answers_due_at=started_at + answer_s,
             ends_at=started_at + serve_s,
-            linger_s=min(_LINGER_S, close_s * _LINGER_FRACTION),
+            late_refusal_s=min(
+                _LATE_REFUSAL_S, close_s * _LATE_REFUSAL_FRACTION
+            ),
             sent_by=started_at + stop_within_s - close_s * _EXIT_FRACTION,
         )
 
--- a/tests/dataplane/test_planned_stop.py
+++ b/tests/dataplane/test_planned_stop.py
@@ -55,7 +55,7 @@
         < times.notice_ends_at
         < times.answers_due_at
         < times.ends_at
-        < times.ends_at + times.linger_s
+        < times.ends_at + times.late_refusal_s
         < times.sent_by
         < stop_within_s
     )
