--- a/packages/dataplane/src/turmericrouter_dataplane/application.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/application.py
@@ -1,15 +1,12 @@
 """The daemon of the request path: wires its parts, starts and stops them."""
 
 import asyncio
-import dataclasses
 import os
 import random
 import signal
 import time
 from typing import Protocol
 
-from turmericrouter_core.errors import LogServiceError
-from turmericrouter_core.errors import SettingsError
 from turmericrouter_dataplane.announcements import Announcements
 from turmericrouter_dataplane.announcements import InvalidAnnouncement
 from turmericrouter_dataplane.announcements import TargetDeparture
@@ -17,6 +14,7 @@
 from turmericrouter_dataplane.config_feed import ConfigFeed
 from turmericrouter_dataplane.decision_log import DecisionLog
 from turmericrouter_dataplane.decision_log import STDOUT_FD
+from turmericrouter_dataplane.directory_sync import DirectorySync
 from turmericrouter_dataplane.dispatcher import Dispatcher
 from turmericrouter_dataplane.drain import Drain
 from turmericrouter_dataplane.era_watch import EraWatch
@@ -32,6 +30,8 @@
 from turmericrouter_dataplane.http_server import HttpServer
 from turmericrouter_dataplane.links import LinkServer
 from turmericrouter_dataplane.local_target import LocalTarget
+from turmericrouter_dataplane.local_target import target_of
+from turmericrouter_dataplane.local_target import with_target
 from turmericrouter_dataplane.log_service import LogService
 from turmericrouter_dataplane.members import HEARTBEAT_PERIOD_S
 from turmericrouter_dataplane.members import Members
@@ -41,10 +41,11 @@
 from turmericrouter_dataplane.policy.log_era import LogEra
 from turmericrouter_dataplane.policy.retry_budget import RetryBudget
 from turmericrouter_dataplane.policy.target_chooser import TargetChooser
-from turmericrouter_dataplane.policy.target_chooser import TargetState
 from turmericrouter_dataplane.policy.workspace_quota import WorkspaceQuota
 from turmericrouter_dataplane.settings import Address
 from turmericrouter_dataplane.settings import Settings
+from turmericrouter_dataplane.settings_reload import SettingsReload
+from turmericrouter_dataplane.settings_reload import SettingsSource
 from turmericrouter_dataplane.start_guard import StartGuard
 from turmericrouter_dataplane.supervisor import supervise
 from turmericrouter_dataplane.timers import TimerService
@@ -54,51 +55,18 @@
 _LOG_FLUSH_PERIOD_S = 0.25
 _SWEEP_PERIOD_S = 1.0
 _SETTINGS_CHECK_PERIOD_S = 2.0
-_DIRECTORY_LOAD_PERIOD_S = 20.0
-# The same for hosts that do not follow the log; a new host dials them itself.
-_RARE_DIRECTORY_LOAD_PERIOD_S = 60.0
-# The first write of the host record waits this long for the announcement of
-# the target, which saves a second write.
-_FIRST_ANNOUNCEMENT_TIMEOUT_S = 1.8
-# Hosts write their records again at this rate after a loss of the log, all
-# together; the log refuses calls beyond some hundreds a second.
-_REWRITES_PER_S = 100.0
 # Time for the links to send their last data.
 _LINK_CLOSE_S = 0.02
 # Idle caller connections are closed this long after the idle timeout, within
 # which callers may reuse them.
 _IDLE_CLOSE_MARGIN_S = 1.0
 
-# Settings that take effect only after a restart.
-_RESTART_SETTINGS = frozenset(
-    {
-        'host',
-        'domain',
-        'callers',
-        'ready',
-        'control',
-        'peers',
-        'advertised',
-        'metrics',
-    }  # fmt: skip
-)
-
-
-class Deployment(Protocol):
+
+class Deployment(SettingsSource, Protocol):
     """The formats and calls of the platform that the daemon runs on."""
 
     headers: HeaderNames
 
-    def load_settings(self) -> Settings:
-        """Read the settings.
-
-        Raises:
-            SettingsError: The settings are invalid.
-        """
-
-    def settings_fingerprint(self) -> object:
-        """Return a value that changes whenever the settings change."""
-
     def decode_config(self, document: bytes) -> FleetConfig:
         """Decode a published configuration.
 
@@ -136,10 +104,11 @@
     def __init__(self, deployment: Deployment) -> None:
         self._deployment = deployment
         settings = deployment.load_settings()
-        self._settings = settings
-        self._settings_fingerprint = deployment.settings_fingerprint()
         self._rng = random.Random()
         self._log = DecisionLog(settings.host)
+        self._settings_reload = SettingsReload(
+            deployment, settings, self._apply_settings, self._log
+        )
         self._timers = TimerService(self._log_timer_failure)
         self._metrics = Metrics()
         self._chooser = TargetChooser(
@@ -172,9 +141,6 @@
         self._config.is_reader = self._members.is_log_reader
         self._config.on_read = self._members.copy_config
         self._config.on_connection_change = self._members.broadcast_status
-        self._directory = HostDirectory(
-            self._log_service, self._era, self._members, self._log
-        )
         self._exchange = TokenExchange(
             self._quota,
             self._timers,
@@ -191,6 +157,7 @@
             log=self._log,
         )
         self._members.on_peer_version = self._start_guard.record_version
+        self._directory_sync = self._make_directory_sync()
         self._announcements = Announcements(self._target_changed, self._log)
         self._members.on_target_left = self._restore_departure
         self._callers = HttpServer(self._dispatcher, self._record_bad_request)
@@ -220,8 +187,6 @@
             log=self._log,
         )
         self._tasks: list[asyncio.Task[None]] = []
-        self._target_known = asyncio.Event()
-        self._record_changed = asyncio.Event()
         self._stopping = asyncio.Event()
         self._stop_reason = ''
 
@@ -253,7 +218,7 @@
         )
 
     def _make_members(self) -> Members:
-        settings = self._settings
+        settings = self._settings_reload.settings
         record = HostRecord(
             settings.host,
             str(settings.advertised),
@@ -273,7 +238,7 @@
         )
 
     def _make_dispatcher(self) -> Dispatcher:
-        settings = self._settings
+        settings = self._settings_reload.settings
         return Dispatcher(
             host=settings.host,
             service=settings.service,
@@ -293,8 +258,22 @@
             rng=self._rng,
         )
 
+    def _make_directory_sync(self) -> DirectorySync:
+        directory = HostDirectory(
+            self._log_service, self._era, self._members, self._log
+        )
+        return DirectorySync(
+            directory,
+            restore_target=self._restore_target,
+            on_first_load=self._start_guard.record_directory,
+            is_log_reader=self._members.is_log_reader,
+            timers=self._timers,
+            log=self._log,
+            rng=self._rng,
+        )
+
     async def _start(self) -> None:
-        settings = self._settings
+        settings = self._settings_reload.settings
         os.set_blocking(STDOUT_FD, False)
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(
@@ -303,7 +282,9 @@
         loop.add_signal_handler(
             signal.SIGINT, self._handle_stop_signal, 'SIGINT'
         )
-        loop.add_signal_handler(signal.SIGHUP, self._reload_settings, 'SIGHUP')
+        loop.add_signal_handler(
+            signal.SIGHUP, self._settings_reload.reload, 'SIGHUP'
+        )
         await self._links.start(settings.peers.ip, settings.peers.port)
         await self._callers.start(settings.callers.ip, settings.callers.port)
         await self._control.start(settings.control.ip, settings.control.port)
@@ -317,7 +298,7 @@
             asyncio.create_task(supervise(name, work, self._log))
             for name, work in (
                 ('config', self._config.run),
-                ('directory', self._sync_directory),
+                ('directory', self._directory_sync.run),
             )
         ]
         self._log.event(
@@ -335,10 +316,15 @@
         every(_LINK_CHECK_PERIOD_S, self._members.check_links, name='links')
         every(_LOG_FLUSH_PERIOD_S, self._log.flush, name='log')
         every(_SWEEP_PERIOD_S, self._sweep, name='sweep')
-        every(_SETTINGS_CHECK_PERIOD_S, self._check_settings, name='settings')
+        every(
+            _SETTINGS_CHECK_PERIOD_S,
+            self._settings_reload.check,
+            name='settings',
+        )
 
     async def _stop(self) -> None:
-        await self._drain.run(self._stop_reason, self._settings.stop_within_s)
+        settings = self._settings_reload.settings
+        await self._drain.run(self._stop_reason, settings.stop_within_s)
         for task in self._tasks:
             task.cancel()
         self._links.stop()
@@ -348,64 +334,11 @@
         self._timers.stop()
         self._log.flush()
 
-    async def _sync_directory(self) -> None:
-        """Load the records of other hosts and store the record of this one."""
-        while True:
-            try:
-                await self._directory.load(self._restore_target)
-                self._start_guard.record_directory()
-                break
-            except LogServiceError as error:
-                self._log.event('hosts_not_loaded', error=str(error))
-                await asyncio.sleep(0.3 + 0.4 * self._rng.random())
-        try:
-            async with asyncio.timeout(_FIRST_ANNOUNCEMENT_TIMEOUT_S):
-                await self._target_known.wait()
-        except TimeoutError:
-            self._log.event('target_not_announced')
-        next_load_at = 0.0
-        while True:
-            self._record_changed.clear()
-            is_stored = await self._directory.store()
-            now = self._timers.now()
-            if not next_load_at:
-                # The first load may miss a host that started at the same time.
-                next_load_at = now + 1.0
-            wait_s = max(0.1, next_load_at - now) if is_stored else 0.5
-            try:
-                async with asyncio.timeout(wait_s):
-                    await self._record_changed.wait()
-            except TimeoutError:
-                if is_stored:
-                    next_load_at = await self._reload_directory()
-
-    async def _reload_directory(self) -> float:
-        try:
-            await self._directory.load()
-        except LogServiceError as error:
-            self._log.event('hosts_not_loaded', error=str(error))
-        spread = 0.8 + 0.4 * self._rng.random()
-        period_s = (
-            _DIRECTORY_LOAD_PERIOD_S
-            if self._members.is_log_reader()
-            else _RARE_DIRECTORY_LOAD_PERIOD_S
-        )
-        return self._timers.now() + period_s * spread
-
     def _restore_target(self, record: HostRecord) -> None:
         """Restore the target from the host record stored before a restart."""
-        if not record.target_id or not record.target_address:
-            return
-        self._announcements.restore(
-            LocalTarget(
-                record.target_id,
-                record.service,
-                Address.parse(record.target_address),
-                record.slots,
-                TargetState(record.state),
-                record.started_at_ms,
-            )
-        )
+        target = target_of(record)
+        if target is not None:
+            self._announcements.restore(target)
 
     def _restore_departure(self, record: HostRecord) -> None:
         """Apply what peers remember of the target of this host."""
@@ -416,13 +349,13 @@
     def _target_changed(self, target: LocalTarget) -> None:
         self._gate.set_target(target)
         self._members.update_own_record(
-            _with_target(self._members.record, target)
+            with_target(self._members.record, target)
         )
-        self._target_known.set()
-        self._record_changed.set()
+        self._directory_sync.handle_target_change()
 
     def _apply_config(self, config: FleetConfig) -> None:
-        # Peers ask for tokens as soon as they have a link.
+        # Limits apply before callers are served here, since peers ask for
+        # tokens as soon as they have a link.
         self._quota.configure(config.workspaces, self._timers.now())
         self._start_guard.apply(config)
 
@@ -435,11 +368,7 @@
         self._config.handle_era_rise()
         if is_from_log:
             self._members.broadcast_status()
-        spread_s = (self._members.peers + 1) / _REWRITES_PER_S
-        self._timers.at(
-            self._timers.now() + spread_s * self._rng.random(),
-            self._record_changed.set,
-        )
+        self._directory_sync.schedule_rewrite(self._members.peers + 1)
 
     def _report_crash(self, digest: int, target_id: str) -> None:
         self._members.report_crash(digest, target_id)
@@ -460,57 +389,12 @@
         self._stop_reason = name
         self._stopping.set()
 
-    def _check_settings(self) -> None:
-        if (
-            self._deployment.settings_fingerprint()
-            != self._settings_fingerprint
-        ):
-            self._reload_settings('changed')
-
-    def _reload_settings(self, cause: str) -> None:
-        """Apply changed settings, or keep the old ones if they are invalid."""
-        before = self._settings
-        try:
-            self._settings_fingerprint = (
-                self._deployment.settings_fingerprint()
-            )
-            settings = self._deployment.load_settings()
-        except SettingsError as error:
-            self._log.event('settings_refused', cause=cause, error=str(error))
-            return
-        changed = [
-            field.name
-            for field in dataclasses.fields(Settings)
-            if getattr(before, field.name) != getattr(settings, field.name)
-        ]
-        self._settings = settings
+    def _apply_settings(self, settings: Settings) -> None:
         self._log_service.set_address(settings.log_service)
         self._dispatcher.set_service(settings.service)
         self._budget.set_limits(
             ratio=settings.retry_ratio, slack=settings.retry_slack
         )
-        self._log.event(
-            'reloaded',
-            cause=cause,
-            changed=','.join(changed),
-            needs_restart=','.join(
-                name for name in changed if name in _RESTART_SETTINGS
-            ),
-        )
 
     def _log_timer_failure(self, name: str, error: Exception) -> None:
         self._log.event('timer_failed', timer=name, error=repr(error))
-
-
-def _with_target(record: HostRecord, target: LocalTarget) -> HostRecord:
-    return HostRecord(
-        record.name,
-        record.address,
-        record.domain,
-        target.service,
-        target.target_id,
-        target.slots,
-        int(target.state),
-        target.started_at_ms,
-        str(target.address),
-    )
