Send a request only where its answer can be told apart

Cause: a request without an id, or with one that the connection had carried before, went over a kept connection. Nothing shows whose answer comes then. Only refusals were distrusted; another answer with a repeated id was passed on, and a 421 with one took the target out of use.

Ruled out: retries of one request at the same target, as a host is tried once; nested calls that are made again do repeat ids. Idle connections do not add up: a new one replaces the oldest idle one. Closing after each such request alone leaves the answer before it in doubt.

A true refusal of a request without an id became 502, not "not run"; a 404, 429, 500 or 503 written once more answered the next request with the id (502 for refusals); after a repeated 421 the next caller was refused. One test of test_gate sent requests without an id and now gives them ids, as the first form no longer shares a connection. Tests of the distrust itself force the reuse.

Conclusion: an answer counts only on a connection where it can't be a copy of one with the same id, or of one without an id. A caller that sends one id many times in a row costs a connection a request, before one every two.

--- a/packages/dataplane/src/turmericrouter_dataplane/gate.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate.py
@@ -216,7 +216,9 @@
         self._running += 1
         if job.wait_timer is not None:
             job.wait_timer.cancel()
-        connection = self._connections.take(job.frame.is_idempotent)
+        connection = self._connections.take(
+            job.frame.is_idempotent, job.frame.request_id
+        )
         if connection is not None:
             self._run(job, connection)
             return
@@ -336,7 +338,7 @@
     def _classify(self, job: GateJob, answer: HttpResponse) -> None:
         headers, status = answer.headers, answer.status
         is_refusal = status == 421 or self._not_run in headers
-        if not answer.is_attributed or (is_refusal and answer.is_repeated_id):
+        if not answer.is_attributed:
             # It may be a late copy of the answer to an earlier request, so
             # that the target may be running this one.
             self._reply_invalid(job)
--- a/packages/dataplane/src/turmericrouter_dataplane/http_client.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/http_client.py
@@ -43,9 +43,8 @@
         headers: All headers by lower-case name.
         body: Complete body without transfer coding.
         is_attributed: Whether the answer certainly belongs to the request:
-            it has its id, or is the first on its connection.
-        is_repeated_id: Whether an earlier request on the connection had the
-            same id, so that the answer may be the one to that request.
+            it is the first on its connection, or has an id that no earlier
+            request on the connection had.
     """
 
     __slots__ = (
@@ -53,7 +52,6 @@
         'head',
         'headers',
         'is_attributed',
-        'is_repeated_id',
         'status',
     )
 
@@ -65,14 +63,12 @@
         body: bytes,
         *,
         is_attributed: bool = True,
-        is_repeated_id: bool = False,
     ) -> None:
         self.status = status
         self.head = head
         self.headers = headers
         self.body = body
         self.is_attributed = is_attributed
-        self.is_repeated_id = is_repeated_id
 
 
 AnswerCallback = Callable[[HttpResponse | Failure], None]
@@ -116,7 +112,7 @@
         self._transport: asyncio.Transport | None = None
         self._callback: AnswerCallback | None = None
         self._expected_id = b''
-        self._is_repeated_id = False
+        self._is_new_id = False
         self._sent_ids: collections.deque[bytes] = collections.deque(
             maxlen=_MAX_SENT_IDS
         )
@@ -158,6 +154,14 @@
             and transport.get_write_buffer_size() == 0
         )
 
+    def can_attribute(self, request_id: bytes) -> bool:
+        """Return whether the answer to a request will be certainly its own.
+
+        Args:
+            request_id: Id of the request, empty if it has none.
+        """
+        return not self._answer_count or self._has_not_sent(request_id)
+
     def send(
         self,
         data: bytes,
@@ -177,7 +181,7 @@
         assert self._transport is not None
         self._callback = callback
         self._expected_id = expected_id
-        self._is_repeated_id = expected_id in self._sent_ids
+        self._is_new_id = self._has_not_sent(expected_id)
         if expected_id:
             self._sent_ids.append(expected_id)
         self._is_head_request = is_head
@@ -273,6 +277,10 @@
         """Finish an answer."""
         self._finish_message()
 
+    def _has_not_sent(self, request_id: bytes) -> bool:
+        """Return whether a request has an id that no earlier one had."""
+        return bool(request_id) and request_id not in self._sent_ids
+
     def _is_unframed(self) -> bool:
         headers = self._headers
         return (
@@ -296,10 +304,11 @@
             # follow.
             self._must_close = True
             return
-        is_attributed = bool(echoed) or self._answer_count == 1
+        is_attributed = self._answer_count == 1 or (
+            bool(echoed) and self._is_new_id
+        )
         # The request's own answer may follow one that is not certainly it.
-        is_certain = is_attributed and not self._is_repeated_id
-        is_last = bool(self._id_header) and not is_certain
+        is_last = bool(self._id_header) and not is_attributed
         if is_last or not self._parser.should_keep_alive():
             self._must_close = True
         self._read_keep_alive(headers)
@@ -310,7 +319,6 @@
             headers,
             body[0] if len(body) == 1 else b''.join(body),
             is_attributed=is_attributed,
-            is_repeated_id=self._is_repeated_id,
         )
 
     def _answers_other_request(self, status: int, echoed: bytes) -> bool:
--- a/packages/dataplane/src/turmericrouter_dataplane/target_connections.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/target_connections.py
@@ -52,16 +52,24 @@
         self._all.add(connection)
         return connection
 
-    def take(self, is_idempotent: bool) -> HttpClientConnection | None:
+    def take(
+        self, is_idempotent: bool, request_id: bytes
+    ) -> HttpClientConnection | None:
         """Remove and return an idle connection that a request may use.
 
+        Args:
+            is_idempotent: Whether the request may run twice.
+            request_id: Id of the request; without one, or with one that the
+                connection has sent, its answer could be a late copy.
+
         Returns:
             None if a new connection is needed.
         """
         idle = self._idle
         now = time.monotonic()
-        while idle:
-            connection = idle[-1]
+        is_other_needed = False
+        for index in reversed(range(len(idle))):
+            connection = idle[index]
             idle_s = now - connection.idle_since
             max_idle_s = _MAX_IDLE_S
             if connection.keep_alive_s:
@@ -69,13 +77,19 @@
                     max_idle_s, connection.keep_alive_s - _KEEP_ALIVE_MARGIN_S
                 )
             if not connection.is_reusable or idle_s > max_idle_s:
-                idle.pop().close()
+                idle.pop(index).close()
                 continue
             if not is_idempotent and idle_s > min(
                 _MAX_NON_IDEMPOTENT_IDLE_S, max_idle_s / 2
             ):
-                return None
-            return idle.pop()
+                break
+            if connection.can_attribute(request_id):
+                return idle.pop(index)
+            is_other_needed = True
+        if is_other_needed:
+            # The new connection takes the place of the oldest one, as targets
+            # accept a limited number.
+            idle.pop(0).close()
         return None
 
     def give_back(self, connection: HttpClientConnection) -> None:
--- a/tests/dataplane/test_gate.py
+++ b/tests/dataplane/test_gate.py
@@ -155,9 +155,10 @@
         )
         outcomes: list[Outcome] = []
         for number in range(2):
-            gate.submit(
-                make_dispatch(number, is_idempotent=False), outcomes.append
+            request = make_dispatch(
+                number, request_id=b'%d' % number, is_idempotent=False
             )
+            gate.submit(request, outcomes.append)
             async with asyncio.timeout(5.0):
                 while len(outcomes) <= number:
                     await asyncio.sleep(0.01)
--- a/tests/dataplane/test_late_answers.py
+++ b/tests/dataplane/test_late_answers.py
@@ -1,6 +1,8 @@
 """Guards against answers of earlier requests that are written once more."""
 
 import asyncio
+import contextlib
+from unittest import mock
 
 import pytest
 
@@ -14,11 +16,22 @@
 from turmericrouter_dataplane.frames import Dispatch
 from turmericrouter_dataplane.frames import Outcome
 from turmericrouter_dataplane.gate import Gate
+from turmericrouter_dataplane.http_client import HttpClientConnection
 from turmericrouter_dataplane.local_target import LocalTarget
 from turmericrouter_dataplane.policy.target_chooser import TargetState
 from turmericrouter_dataplane.settings import Address
 from turmericrouter_dataplane.timers import TimerService
 
+# One request at a time needs one connection; another one may be closing.
+MAX_OPEN_CONNECTIONS = 2
+
+
+def _reuse_for_any_request() -> contextlib.AbstractContextManager[object]:
+    """Let any request use a kept connection, also with an id sent before."""
+    return mock.patch.object(
+        HttpClientConnection, 'can_attribute', return_value=True
+    )
+
 
 def _make_dispatch(
     number: int, request_id: bytes, *, is_idempotent: bool
@@ -55,7 +68,9 @@
             async with asyncio.timeout(10.0):
                 while len(outcomes) < number:
                     await asyncio.sleep(0.005)
+        open_count = len(gate._connections._all)
         gate.stop()
+    assert open_count <= MAX_OPEN_CONNECTIONS
     return outcomes, target
 
 
@@ -145,7 +160,7 @@
     """
 
     def script(number: int, request_id: bytes) -> bytes:
-        if number == 1:
+        if request_id:
             return make_answer(200, request_id)
         copy = make_answer(200, b'a', body=b'of an earlier request')
         return copy + make_answer(400, is_not_run=True)
@@ -153,6 +168,107 @@
     outcomes, _ = _run(script, b'a', b'', is_idempotent=False)
     assert outcomes[1].verdict is Verdict.MAY_HAVE_RUN
     assert outcomes[1].body == b''
+    with _reuse_for_any_request():
+        outcomes, _ = _run(script, b'a', b'', is_idempotent=False)
+    assert outcomes[1].verdict is Verdict.MAY_HAVE_RUN
+    assert outcomes[1].body == b''
+
+
+def test_refusal_of_a_request_without_an_id_is_believed() -> None:
+    """Guards against 502 for a request that the target says it refused."""
+
+    def script(number: int, request_id: bytes) -> bytes:
+        if request_id:
+            return make_answer(200, request_id)
+        return make_answer(400, is_not_run=True)
+
+    outcomes, target = _run(script, b'a', b'', b'', b'b', is_idempotent=False)
+    assert [o.verdict for o in outcomes] == [
+        Verdict.RAN,
+        Verdict.NOT_RUN,
+        Verdict.NOT_RUN,
+        Verdict.RAN,
+    ]
+    # The last request has an id and shares the connection of the one before.
+    assert target.connection_count == 3
+
+
+@pytest.mark.parametrize('is_idempotent', [False, True])
+@pytest.mark.parametrize('status', [404, 429, 500, 503])
+def test_copy_on_a_kept_connection_meets_no_request_of_its_id(
+    status: int, is_idempotent: bool
+) -> None:
+    """Guards against a copy that counts as the answer to a repeated id."""
+    answer_count = 0
+
+    def script(number: int, request_id: bytes) -> bytes:
+        nonlocal answer_count
+        answer_count += 1
+        if number == 1 and answer_count > 1:
+            return make_answer(200, request_id)
+        return make_answer(status, request_id, is_not_run=status in (429, 503))
+
+    outcomes, _ = _run(script, b'a', b'a', is_idempotent=is_idempotent)
+    assert outcomes[1].status == 200
+
+
+@pytest.mark.parametrize('status', [200, 404, 500, 504])
+def test_answer_of_a_repeated_id_on_a_kept_connection_is_not_passed_on(
+    status: int,
+) -> None:
+    """Guards against the answer to the earlier request with the same id."""
+
+    def script(number: int, request_id: bytes) -> bytes:
+        return make_answer(status, request_id, body=b'%d' % number)
+
+    with _reuse_for_any_request():
+        outcomes, _ = _run(script, b'a', b'b', b'a')
+    assert [o.body for o in outcomes] == [b'1', b'2', b'']
+    assert outcomes[2].verdict is Verdict.MAY_HAVE_RUN
+    assert outcomes[2].reason is Reason.TARGET_ANSWER_INVALID
+
+
+def test_late_421_of_a_repeated_id_does_not_stop_the_target() -> None:
+    """Guards against requests that are refused as the target seems gone."""
+
+    def script(number: int, request_id: bytes) -> bytes:
+        if number == 2:
+            return make_answer(421, request_id, is_not_run=True)
+        return make_answer(200, request_id)
+
+    with _reuse_for_any_request():
+        outcomes, _ = _run(script, b'a', b'a', b'c')
+    assert [o.reason for o in outcomes] == [
+        Reason.SERVED,
+        Reason.TARGET_ANSWER_INVALID,
+        Reason.SERVED,
+    ]
+
+
+def test_id_that_was_sent_63_requests_before_is_still_known() -> None:
+    """Guards against a copy that comes many answers after its request."""
+
+    def script(number: int, request_id: bytes) -> bytes:
+        return make_answer(200, request_id)
+
+    others = [b'%d' % number for number in range(63)]
+    outcomes, target = _run(script, b'a', *others, b'a')
+    assert {o.status for o in outcomes} == {200}
+    assert target.connection_count == 2
+
+
+@pytest.mark.parametrize('request_id', [b'', b'a'])
+def test_connections_of_requests_without_a_new_id_do_not_add_up(
+    request_id: bytes,
+) -> None:
+    """Guards against idle connections beyond what the target accepts."""
+
+    def script(number: int, request_id: bytes) -> bytes:
+        status = 200 if request_id else 500
+        return make_answer(status, request_id)
+
+    outcomes, _ = _run(script, *[request_id] * 20)
+    assert {o.verdict for o in outcomes} == {Verdict.RAN}
 
 
 @pytest.mark.parametrize('status', [421, 429, 503])
@@ -170,7 +286,8 @@
             return make_answer(200, request_id)
         return make_answer(status, request_id, is_not_run=True)
 
-    outcomes, _ = _run(script, b'a', b'a', is_idempotent=False)
+    with _reuse_for_any_request():
+        outcomes, _ = _run(script, b'a', b'a', is_idempotent=False)
     assert outcomes[1].verdict is Verdict.MAY_HAVE_RUN
 
 
@@ -182,8 +299,8 @@
 
     outcomes, target = _run(script, b'a', b'a', b'a')
     assert [o.status for o in outcomes] == [200, 200, 200]
-    # The second answer may be a copy of the first, with its own to follow.
-    assert target.connection_count == 2
+    # On one connection, an answer could be a copy of the one before.
+    assert target.connection_count == 3
 
 
 @pytest.mark.parametrize('is_idempotent', [False, True])
