Reject an answer whose head contains the start of another

Cause: a target that stops in the phrase or a header of one answer and then writes the next one sends what the parser reads as one head, with the status of the first and the id of the second. The id was taken as proof of the whole.

Ruled out: cuts elsewhere; the parser rejects a status line where a name, a chunk or another answer begins. Comparing repeated headers instead misses a copy that is cut before its id.

Conclusion: a head counts only if no second one begins in it. A header of a target that quotes a whole status line is rejected too.

--- a/packages/dataplane/src/turmericrouter_dataplane/http_client.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/http_client.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import Callable
 import enum
+import re
 import socket
 import time
 from typing import cast
@@ -25,6 +26,10 @@
 # Ids that a connection remembers, to notice one that is sent again. A late
 # copy comes where one of the next answers is expected, not many answers later.
 _MAX_SENT_IDS = 64
+# Start of an answer, with its status. In the phrase or a header of an answer
+# it shows that the target stopped there and began the next answer.
+_PROTOCOL = b'HTTP/1.'
+_find_status_line = re.compile(rb'HTTP/1\.[01] [1-9][0-9][0-9]').search
 
 
 class Failure(enum.Enum):
@@ -119,6 +124,9 @@
         self._is_head_request = False
         self._headers: dict[bytes, bytes] = {}
         self._header_lines: list[bytes] = []
+        # Phrase and values of headers that are not forwarded.
+        self._dropped_parts: list[bytes] = []
+        self._has_merged_heads = False
         self._body: list[bytes] = []
         self._in_message = False
         self._headers_done = False
@@ -221,7 +229,7 @@
             self._must_close = True
             if self._answer is None:
                 self._fail(Failure.INVALID)
-        if self._is_head_too_large():
+        if self._has_merged_heads or self._is_head_too_large():
             self._fail(Failure.INVALID)
         self._deliver()
 
@@ -230,6 +238,8 @@
         if self._headers_done and self._is_unframed():
             self._must_close = True
             self._finish_message()
+            if self._has_merged_heads:
+                self._fail(Failure.INVALID)
             self._deliver()
         return False
 
@@ -251,8 +261,13 @@
         self._headers_done = False
         self._headers = {}
         self._header_lines = []
+        self._dropped_parts = []
         self._body = []
 
+    def on_status(self, part: bytes) -> None:
+        """Add a part of the phrase of the status line."""
+        self._dropped_parts.append(part)
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; trailers after a chunked body are not forwarded."""
         if self._headers_done:
@@ -261,6 +276,8 @@
         self._headers[lower] = value
         if lower not in self._dropped_headers:
             self._header_lines.append(b'%b: %b\r\n' % (name, value))
+        else:
+            self._dropped_parts.append(value)
 
     def on_headers_complete(self) -> None:
         """Finish the answer to a HEAD request, which has no body."""
@@ -296,6 +313,11 @@
         status = self._parser.get_status_code()
         if status < 200 or self._answer is not None:
             return
+        header_lines = b''.join(self._header_lines)
+        text = header_lines + b''.join(self._dropped_parts)
+        if _PROTOCOL in text and _find_status_line(text):
+            self._has_merged_heads = True
+            return
         self._answer_count += 1
         headers = self._headers
         echoed = headers.get(self._id_header, b'')
@@ -315,7 +337,7 @@
         body = self._body
         self._answer = HttpResponse(
             status,
-            status_line(status) + b''.join(self._header_lines),
+            status_line(status) + header_lines,
             headers,
             body[0] if len(body) == 1 else b''.join(body),
             is_attributed=is_attributed,
@@ -376,6 +398,7 @@
         self._received_bytes = 0
         self._body = []
         self._header_lines = []
+        self._dropped_parts = []
 
     def _fail(self, failure: Failure) -> None:
         callback, self._callback = self._callback, None
--- a/tests/dataplane/test_cut_answers.py
+++ b/tests/dataplane/test_cut_answers.py
@@ -286,6 +286,58 @@
     assert head.startswith(b'HTTP/1.1 502 ')
 
 
+_REFUSAL = (
+    b'HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nDate: now\r\nX-Id: other\r\n'
+    b'Content-Length: 4\r\nX-Last: 1\r\n\r\nbusy'
+)
+_REPLIES = {
+    'served': _LENGTH,
+    'served-without-a-phrase': _LENGTH.replace(b'200 OK', b'200'),
+    'failed': _LENGTH.replace(b'200 OK', b'500 Failed'),
+    'http-1.0': FRAMED['http-1.0'],
+    'chunked': FRAMED['chunked'],
+    '204': FRAMED['204'],
+}
+
+
+@pytest.mark.parametrize('is_used', [False, True])
+@pytest.mark.parametrize('segment_size', [0, 1, 7])
+@pytest.mark.parametrize('kind', _REPLIES)
+def test_cut_answer_does_not_merge_with_the_next_one(
+    kind: str, segment_size: int, is_used: bool
+) -> None:
+    """Guards against the status of one answer with the id of another.
+
+    The status line of the second answer ends the phrase or a header of the
+    first one, which is cut there.
+    """
+    reply = _REPLIES[kind]
+    status = int(reply[9:12])
+    for cut in (_REFUSAL, _LENGTH.replace(b'own', b'other')):
+        for size in range(1, len(cut)):
+            exchange = _Exchange(is_used=is_used)
+            exchange.receive(cut[:size] + reply, segment_size=segment_size)
+            if not exchange.results:
+                exchange.end(is_reset=False)
+            (result,) = exchange.results
+            assert isinstance(result, Failure) or result.status == status
+            if isinstance(result, HttpResponse):
+                assert b'X-Not-Run' not in result.head
+                assert not exchange.connection.is_reusable
+
+
+@pytest.mark.parametrize('value', [b'1.1 proxy', b'HTTP/1.1 proxy'])
+def test_header_that_names_the_protocol_is_no_second_head(
+    value: bytes,
+) -> None:
+    """Guards against the distrust of answers that passed a proxy."""
+    exchange = _Exchange()
+    exchange.receive(_LENGTH.replace(b'X-Last: 1', b'Via: ' + value))
+    (result,) = exchange.results
+    assert isinstance(result, HttpResponse)
+    assert exchange.connection.is_reusable
+
+
 _LATE = b'HTTP/1.1 503 X\r\nX-Id: other\r\nContent-Length: 4\r\n\r\nbusy'
 
 
--- a/tests/dataplane/test_late_answers.py
+++ b/tests/dataplane/test_late_answers.py
@@ -119,6 +119,26 @@
     ]
 
 
+@pytest.mark.parametrize('is_idempotent', [False, True])
+def test_cut_copy_before_the_own_answer_is_no_proof_of_not_run(
+    is_idempotent: bool,
+) -> None:
+    """Guards against a refusal that ends within its head.
+
+    With the answer after it, it looks like a refusal with the request's id.
+    """
+
+    def script(number: int, request_id: bytes) -> bytes:
+        own = make_answer(200, request_id)
+        if number == 1:
+            return own
+        return b'HTTP/1.1 503 X\r\n%b: 1' % NAMES.not_run + own
+
+    outcomes, _ = _run(script, b'a', b'b', is_idempotent=is_idempotent)
+    assert outcomes[1].verdict is Verdict.MAY_HAVE_RUN
+    assert outcomes[1].reason is Reason.TARGET_ANSWER_INVALID
+
+
 @pytest.mark.parametrize('status', [404, 500, 504])
 def test_late_failure_without_an_id_is_not_passed_on(status: int) -> None:
     """Guards against an answer that belongs to an earlier request.
