Close a connection of the earlier daemon after a refusal

Cause: the earlier daemon compares no ids, as its targets need not return them. A refusal that the target wrote once more on a kept connection answered the next request with "not run", also if the target ran that request.

Ruled out: comparing an id that a target returns by chance; the daemon's answers to nested calls carry the same header, and a target may forward it. Distrust of each refusal on a used connection, which turns true ones into 502.

Before and after: tests/daemon/test_target_connection.py, two new tests: the second request got the 503 of the first; now it gets its own 200. The tests of gate, delivery and dispatch of tests/daemon pass.

Conclusion: no copy of a 503, the one status that can say "not run", meets a later request. A late answer of another status is still passed on there.

--- a/packages/daemon/src/turmericrouter_daemon/target_connection.py
+++ b/packages/daemon/src/turmericrouter_daemon/target_connection.py
@@ -27,6 +27,9 @@
 _HEAD_END = b'\r\n\r\n'
 _MAX_HEAD_BYTES = 65_536
 _FIRST_FINAL_STATUS = 200
+# Answers name no request. A refusal that the target writes once more would
+# tell the next request of the connection that it has not run.
+_REFUSAL_STATUS = 503
 _BODYLESS_STATUSES = frozenset({204, 304})
 _TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _is_path = re.compile(r'/[^\x00-\x20\x7f]*|\*').fullmatch
@@ -196,7 +199,10 @@
             # Either the length or the body is wrong; which one is unknown.
             raise AnswerInvalidError('bytes beyond the end of the answer')
         self.reusable = (
-            not message.should_close and self.is_open and excess == 0
+            not message.should_close
+            and self.is_open
+            and excess == 0
+            and message.code != _REFUSAL_STATUS
         )
         headers = tuple(
             [
--- a/tests/daemon/test_target_connection.py
+++ b/tests/daemon/test_target_connection.py
@@ -24,6 +24,7 @@
 
 HEAD = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n'
 ANSWER = HEAD + b'first'
+REFUSAL = b'HTTP/1.1 503 X\r\nTurmeric-Not-Run: 1\r\nContent-Length: 0\r\n\r\n'
 CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 
 
@@ -104,6 +105,36 @@
     _with_pool(script, check)
 
 
+@pytest.mark.parametrize('idempotent', [True, False])
+def test_late_refusal_does_not_answer_the_next_request(
+    idempotent: bool,
+) -> None:
+    """Fails if a refusal written once more tells a request "not run"."""
+
+    async def script(request: ScriptedRequest) -> None:
+        if request.writer is target.requests[0].writer:
+            await request.send(REFUSAL)
+        else:
+            await request.answer(b'own')
+
+    target = ScriptedTarget(script)
+
+    async def run() -> None:
+        async with target, asyncio.timeout(20):
+            pool = TargetPool(
+                '127.0.0.1',
+                target.port,
+                connect_timeout_s=5.0,
+                max_answer_bytes=1000,
+            )
+            assert (await pool.send(_request())).status == 503
+            answer = await pool.send(_request(idempotent=idempotent))
+            assert (answer.status, answer.body) == (200, b'own')
+            pool.close()
+
+    asyncio.run(run())
+
+
 FAULTS = [
     ([], TargetBrokenError),
     ([HEAD[:20]], TargetBrokenError),
