Test sizes, interim answers and hand-overs that the client reads rightly

Cause: no test had a length with a sign or a tab, a chunk size that is no number, a status line cut within its code, a body where none belongs, a late answer between interim ones, a copy in the turn that sends the next request, or an outcome of a lost link that reaches the next link.

Ruled out: a fault in these cases; the code is unchanged.

Conclusion: the parser rejects unclear sizes; bytes behind an answer without a body end the connection; numbers of calls are compared on their own link only.

--- a/tests/dataplane/test_cut_answers.py
+++ b/tests/dataplane/test_cut_answers.py
@@ -37,6 +37,8 @@
 _LENGTH = _OK + b'Content-Length: 12\r\nX-Last: 1\r\n\r\nhello world!'
 _TO_END = _OK + b'Connection: close\r\n\r\n'
 
+_LATE = b'HTTP/1.1 503 X\r\nX-Id: other\r\nContent-Length: 4\r\n\r\nbusy'
+
 # Whole answers whose every proper prefix is incomplete.
 FRAMED = {
     'length': _LENGTH,
@@ -191,13 +193,22 @@
         b'Content-Length: 5, 12\r\n',
         b'Content-Length:\r\n',
         b'Content-Length: -5\r\n',
+        b'Content-Length: +5\r\n',
         b'Content-Length: 0x5\r\n',
+        b'Content-Length: 5.0\r\n',
+        b'Content-Length: 5\t2\r\n',
+        b'Content-Length: 5\x0b\r\n',
+        b'Content-Length : 5\r\n',
         b'Content-Length: 99999999999999999999\r\n',
         b'Content-Length: 5\r\n 2\r\n',
         b'Content-Le\r\n',
         b'Transfer-Encoding: gzip\r\n',
         b'Transfer-Encoding: chunked, gzip\r\n',
         b'Transfer-Encoding: identity\r\n',
+        b'Transfer-Encoding: xchunked\r\n',
+        b'Transfer-Encoding: "chunked"\r\n',
+        b'Transfer-Encoding : chunked\r\n',
+        b'Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n',
     ],
 )
 def test_answer_of_unclear_length_is_a_failure(framing: bytes) -> None:
@@ -209,6 +220,116 @@
     assert isinstance(exchange.results[0], Failure)
 
 
+@pytest.mark.parametrize(
+    'size',
+    [b'', b'+5', b'-5', b'0x5', b'5 ', b'5.', b'f' * 17, b'1' + b'0' * 16],
+)
+def test_chunk_of_unclear_size_is_a_failure(size: bytes) -> None:
+    """Guards against a chunk whose size is read as a smaller one."""
+    exchange = _Exchange()
+    head = _OK + b'Transfer-Encoding: chunked\r\n\r\n'
+    exchange.receive(head + size + b'\r\nhello\r\n0\r\n\r\n')
+    exchange.end(is_reset=False)
+    assert len(exchange.results) == 1
+    assert isinstance(exchange.results[0], Failure)
+
+
+@pytest.mark.parametrize(
+    'line',
+    [b'HTTP/1.1', b'HTTP/1.1 ', b'HTTP/1.1 2', b'HTTP/1.1 20', b'HTTP/1. 200'],
+)
+@pytest.mark.parametrize('is_reset', [False, True])
+def test_cut_status_line_before_a_whole_head_is_a_failure(
+    line: bytes, is_reset: bool
+) -> None:
+    """Guards against a code that is taken from its first digits."""
+    exchange = _Exchange()
+    exchange.receive(line + _LENGTH.removeprefix(b'HTTP/1.1 200 OK'))
+    exchange.end(is_reset=is_reset)
+    assert len(exchange.results) == 1
+    assert isinstance(exchange.results[0], Failure)
+
+
+@pytest.mark.parametrize('timing', ['together', 'idle', 'next-request'])
+@pytest.mark.parametrize('status', [b'204', b'304'])
+def test_body_of_an_answer_without_one_answers_no_request(
+    status: bytes, timing: str
+) -> None:
+    """Guards against a body that is read as the next answer."""
+    head = _LENGTH.removesuffix(b'hello world!').replace(b'200', status)
+    exchange = _Exchange()
+    if timing == 'together':
+        exchange.receive(head + b'hello world!')
+    else:
+        exchange.receive(head)
+    (result,) = exchange.results
+    assert isinstance(result, HttpResponse)
+    assert result.body == b''
+    if timing == 'idle':
+        exchange.receive(b'hello world!')
+    if timing == 'next-request':
+        results: list[Result] = []
+        exchange.connection.send(b'', results.append, expected_id=b'next')
+        exchange.receive(b'hello world!')
+        assert results == [Failure.INVALID]
+    assert not exchange.connection.is_reusable
+
+
+@pytest.mark.parametrize('data', [_LENGTH, FRAMED['chunked']])
+def test_body_of_an_answer_to_head_spoils_the_connection(data: bytes) -> None:
+    """Guards against a body that is read as the next answer."""
+    for segment_size in (0, 1):
+        exchange = _Exchange('HEAD')
+        exchange.receive(data, segment_size=segment_size)
+        (result,) = exchange.results
+        assert isinstance(result, HttpResponse)
+        assert (result.status, result.body) == (200, b'')
+        assert not exchange.connection.is_reusable
+
+
+@pytest.mark.parametrize('segment_size', [0, 1])
+def test_late_answers_between_interim_ones_are_skipped(
+    segment_size: int,
+) -> None:
+    """Guards against a copy that counts as the end of an interim answer."""
+    exchange = _Exchange(is_used=True)
+    interim = b'HTTP/1.1 100 Continue\r\n\r\n'
+    own_interim = b'HTTP/1.1 103 X\r\nX-Id: own\r\n\r\n'
+    data = interim + _LATE + own_interim + _LATE + interim + _LENGTH
+    exchange.receive(data, segment_size=segment_size)
+    (result,) = exchange.results
+    assert isinstance(result, HttpResponse)
+    assert (result.status, result.body) == (200, b'hello world!')
+    assert result.is_attributed
+    assert not exchange.connection.is_reusable
+
+
+@pytest.mark.parametrize('request_id', [b'next', b'first'])
+def test_copy_right_after_the_hand_over_is_not_certainly_the_own(
+    request_id: bytes,
+) -> None:
+    """Guards against a copy read in the turn that sends the next request."""
+    results: list[Result] = []
+    exchange = _Exchange()
+    connection = exchange.connection
+
+    def send_next(result: Result) -> None:
+        connection.send(b'', results.append, expected_id=request_id)
+
+    connection.abort()
+    connection.send(b'', send_next, expected_id=b'first')
+    refusal = b'HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n'
+    if request_id == b'first':
+        refusal = refusal.replace(b'X\r\n', b'X\r\nX-Id: first\r\n')
+    exchange.receive(refusal)
+    assert not results
+    exchange.receive(refusal)
+    (result,) = results
+    assert isinstance(result, HttpResponse)
+    assert not result.is_attributed
+    assert not connection.is_reusable
+
+
 def _run_cut(data: bytes, *, is_reset: bool, is_idempotent: bool) -> Outcome:
     """Run a request at a target that sends these bytes and then closes."""
 
@@ -338,9 +459,6 @@
     assert exchange.connection.is_reusable
 
 
-_LATE = b'HTTP/1.1 503 X\r\nX-Id: other\r\nContent-Length: 4\r\n\r\nbusy'
-
-
 @pytest.mark.parametrize('size', range(1, len(_LATE)))
 def test_late_refusal_in_pieces_answers_no_request(size: int) -> None:
     """Guards against a copy whose parts come apart from each other.
--- a/tests/dataplane/test_links.py
+++ b/tests/dataplane/test_links.py
@@ -214,3 +214,45 @@
         server.stop()
 
     asyncio.run(work())
+
+
+def test_outcome_of_a_lost_link_reaches_no_call_of_the_next_one() -> None:
+    """Guards against numbers of calls that begin anew with each link.
+
+    The peer answers the call of a lost link after the link was opened again.
+    """
+
+    async def work() -> None:
+        server_links: list[Link] = []
+
+        class Peer(Recorder):
+            def handle(self, link: Link, frame: Frame) -> None:
+                server_links.append(link)
+
+        server = LinkServer(Peer())
+        await server.start('127.0.0.1', 0)
+        assert server._server is not None
+        port = server._server.sockets[0].getsockname()[1]
+        pool, link = await open_link(port, Recorder())
+        first = await call(link)
+        async with asyncio.timeout(5.0):
+            while len(server_links) < 1:
+                await asyncio.sleep(0.01)
+            link.abort()
+            assert (await first).verdict is Verdict.MAY_HAVE_RUN
+            pool.reconnect('peer')
+            while (next_link := pool.get('peer')) is None:
+                await asyncio.sleep(0.01)
+            second = await call(next_link)
+            while len(server_links) < 2:
+                await asyncio.sleep(0.01)
+            assert next_link._last_correlation == link._last_correlation
+            server_links[0].send(
+                Outcome(1, Verdict.NOT_RUN, Reason.TARGET_SHED)
+            )
+            server_links[1].send(Outcome(1, Verdict.RAN, Reason.SERVED, 200))
+            assert (await second).verdict is Verdict.RAN
+        pool.stop()
+        server.stop()
+
+    asyncio.run(work())
