Reject merged heads in the earlier daemon

Cause: the earlier daemon reads two answers as one too if the first one stops in its phrase or a header: the body and length of the second under the status of the first.

Ruled out: cuts elsewhere in the head; aiohttp's parser rejects them.

Before and after: tests/daemon/test_target_connection.py:: test_cut_answer_does_not_merge_with_the_next_one failed: a 500 was delivered as 200. Cut after each of 38 bytes, it is now AnswerInvalidError.

--- a/packages/daemon/src/turmericrouter_daemon/target_connection.py
+++ b/packages/daemon/src/turmericrouter_daemon/target_connection.py
@@ -31,6 +31,9 @@
 # tell the next request of the connection that it has not run.
 _REFUSAL_STATUS = 503
 _BODYLESS_STATUSES = frozenset({204, 304})
+# Start of an answer, with its status. In the phrase or a header of an answer
+# it shows that the target stopped there and began the next answer.
+_find_status_line = re.compile(rb'HTTP/1\.[01] [1-9][0-9][0-9]').search
 _TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _is_path = re.compile(r'/[^\x00-\x20\x7f]*|\*').fullmatch
 
@@ -103,6 +106,12 @@
     )
 
 
+def _contains_status_line(message: Any) -> bool:
+    values = [value for _, value in message.raw_headers]
+    values.append(message.reason.encode(HEADER_ENCODING, 'replace'))
+    return _find_status_line(b'\n'.join(values)) is not None
+
+
 class TargetConnection(BaseProtocol):
     """One connection, used for one request at a time."""
 
@@ -191,6 +200,8 @@
         self.transport.write(data)
         assert self._head is not None
         message, payload = await self._head
+        if _contains_status_line(message):
+            raise AnswerInvalidError('another answer begins in the head')
         body = await self._read(payload, max_answer_bytes)
         self._parser = self._head = self._payload = None
         self.used = True
--- a/tests/daemon/test_target_connection.py
+++ b/tests/daemon/test_target_connection.py
@@ -278,6 +278,26 @@
     _with_pool(script, check)
 
 
+def test_cut_answer_does_not_merge_with_the_next_one() -> None:
+    """Fails if a body counts under the status of another answer.
+
+    The second answer begins in the phrase or a header of the first one.
+    """
+    cut = b'HTTP/1.1 200 Done\r\nX-A: b\r\nX-Last: 1\r\n'
+    own = ANSWER.replace(b'200 OK', b'500 Failed')
+
+    async def script(request: ScriptedRequest) -> None:
+        await request.send(cut[: request.number] + own)
+
+    async def check(target: ScriptedTarget, pool: TargetPool) -> None:
+        for _ in cut:
+            with pytest.raises(AnswerInvalidError):
+                await pool.send(_request())
+        assert target.connections == len(cut)
+
+    _with_pool(script, check)
+
+
 @pytest.mark.parametrize('is_reset', [False, True])
 def test_answer_without_a_length_ends_with_its_connection(
     is_reset: bool,
