Keep no connection of the target before

Cause: when another target was announced, only idle connections were closed. One in use, or one that was opening for a cancelled request, came back to the pool and carried a request for the new target to the old one. Its 421 was believed and took the new target out of use for 0.5 s.

Ruled out: a request that waits for its own connection while the target changes; the gate already refuses it.

Before and after: tests/dataplane/test_late_answers.py:: test_connection_of_the_target_before_is_not_kept, four cases, failed: the next request went to the earlier target and was refused. Now the new target serves it. Without the check of connections that are opening, two of the four fail.

Conclusion: an answer is also judged by whose connection it came on.

--- a/packages/dataplane/src/turmericrouter_dataplane/http_client.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/http_client.py
@@ -208,6 +208,10 @@
         if self._transport is not None:
             self._transport.close()
 
+    def end_reuse(self) -> None:
+        """Let no further request go over this connection."""
+        self._must_close = True
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set its user timeout."""
         self._transport = cast(asyncio.Transport, transport)
--- a/packages/dataplane/src/turmericrouter_dataplane/target_connections.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/target_connections.py
@@ -33,6 +33,8 @@
         self._budget = ReceiveBudget(http_client.MAX_UNFINISHED_BYTES)
         self._idle: list[HttpClientConnection] = []
         self._all: set[HttpClientConnection] = set()
+        # Number of times that all connections were closed.
+        self._generation = 0
 
     async def open(self, address: Address) -> HttpClientConnection:
         """Open a connection.
@@ -40,6 +42,7 @@
         Raises:
             OSError: The connection could not be opened; nothing was sent.
         """
+        generation = self._generation
         connection = await http_client.connect(
             address.ip,
             address.port,
@@ -50,6 +53,8 @@
             budget=self._budget,
         )
         self._all.add(connection)
+        if generation != self._generation:
+            connection.end_reuse()
         return connection
 
     def take(
@@ -106,7 +111,13 @@
             self._idle.pop(0).close()
 
     def close_idle(self) -> None:
-        """Close all idle connections."""
+        """Close all connections, those in use after their answer.
+
+        Another target may have the address of those that are opened now.
+        """
+        self._generation += 1
+        for connection in self._all:
+            connection.end_reuse()
         idle, self._idle = self._idle, []
         for connection in idle:
             connection.close()
--- a/tests/dataplane/test_late_answers.py
+++ b/tests/dataplane/test_late_answers.py
@@ -16,6 +16,7 @@
 from turmericrouter_dataplane.frames import Dispatch
 from turmericrouter_dataplane.frames import Outcome
 from turmericrouter_dataplane.gate import Gate
+from turmericrouter_dataplane.gate_job import GateJob
 from turmericrouter_dataplane.http_client import HttpClientConnection
 from turmericrouter_dataplane.local_target import LocalTarget
 from turmericrouter_dataplane.policy.target_chooser import TargetState
@@ -338,3 +339,73 @@
     assert outcomes[1].verdict is Verdict.MAY_HAVE_RUN
     assert outcomes[1].reason is Reason.DEADLINE_EXPIRED
     assert target.connection_count == 1
+
+
+@pytest.mark.parametrize('is_idempotent', [False, True])
+@pytest.mark.parametrize('is_cancelled', [False, True])
+def test_connection_of_the_target_before_is_not_kept(
+    is_idempotent: bool, is_cancelled: bool
+) -> None:
+    """Guards against a 421 of the earlier target that stops the present one.
+
+    The target changes while a request runs, or while its connection opens.
+    """
+
+    async def work() -> None:
+        timers = TimerService(lambda name, error: None)
+        gate = Gate(
+            NAMES, timers, DecisionLog('host'), lambda digest, target: None
+        )
+        outcomes: list[Outcome] = []
+
+        def submit(request_id: bytes) -> GateJob:
+            return gate.submit(
+                _make_dispatch(1, request_id, is_idempotent=is_idempotent),
+                outcomes.append,
+            )
+
+        def announce(target_id: str, port: int) -> None:
+            gate.set_target(
+                LocalTarget(
+                    target_id,
+                    'design',
+                    Address('127.0.0.1', port),
+                    4,
+                    TargetState.SERVING,
+                )
+            )
+
+        def answer_first(number: int, request_id: bytes) -> bytes:
+            announce('t-2', present.port)
+            return make_answer(200, request_id)
+
+        async def wait_for(count: int) -> None:
+            async with asyncio.timeout(5.0):
+                while len(outcomes) < count:
+                    await asyncio.sleep(0.005)
+
+        present = ScriptedTarget(lambda number, i: make_answer(200, i))
+        earlier = ScriptedTarget(answer_first)
+        async with present, earlier:
+            announce('t-1', earlier.port)
+            job = submit(b'a')
+            if is_cancelled:
+                # The connection begins to open in the next turn.
+                await asyncio.sleep(0)
+                gate.cancel(job)
+                announce('t-2', present.port)
+                async with asyncio.timeout(5.0):
+                    while not earlier.connection_count:
+                        await asyncio.sleep(0.005)
+                await asyncio.sleep(0.05)
+            else:
+                await wait_for(1)
+            outcomes.clear()
+            submit(b'b')
+            await wait_for(1)
+            gate.stop()
+        assert outcomes[0].reason is Reason.SERVED
+        assert present.request_ids == [b'b']
+        assert len(earlier.request_ids) == (0 if is_cancelled else 1)
+
+    asyncio.run(work())
