Believe no "not run" mark on an answer below 400

Cause: any answer with the mark of a request that was not run counted as a refusal, also a signed 200. Such an answer says both, and a caller could be told "not run", or another target run the request, after it had run.

Ruled out: the statuses that targets are known to mark (400, 421, 429, 503).

Before and after: tests/dataplane/test_late_answers.py:: test_success_that_is_marked_not_run_proves_nothing, six cases, failed with NOT_RUN; the verdict is now MAY_HAVE_RUN.

Conclusion: the mark needs a status that fits it. A 421 without the mark is still a refusal, as its meaning is published.

--- a/packages/dataplane/src/turmericrouter_dataplane/gate.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate.py
@@ -338,9 +338,10 @@
     def _classify(self, job: GateJob, answer: HttpResponse) -> None:
         headers, status = answer.headers, answer.status
         is_refusal = status == 421 or self._not_run in headers
-        if not answer.is_attributed:
+        if not answer.is_attributed or (is_refusal and status < 400):
             # It may be a late copy of the answer to an earlier request, so
-            # that the target may be running this one.
+            # that the target may be running this one; or it says both that
+            # the request ran and that it did not.
             self._reply_invalid(job)
             return
         if is_refusal:
--- a/tests/dataplane/test_late_answers.py
+++ b/tests/dataplane/test_late_answers.py
@@ -120,6 +120,25 @@
     ]
 
 
+@pytest.mark.parametrize('is_signed', [False, True])
+@pytest.mark.parametrize('status', [200, 204, 302])
+def test_success_that_is_marked_not_run_proves_nothing(
+    status: int, is_signed: bool
+) -> None:
+    """Guards against "not run" from an answer that contradicts itself."""
+
+    def script(number: int, request_id: bytes) -> bytes:
+        answer = make_answer(status, request_id, is_not_run=True)
+        if is_signed:
+            signature = b'\r\n%b: s\r\n\r\n' % NAMES.signature
+            answer = answer.removesuffix(b'\r\n\r\n') + signature
+        return answer
+
+    outcomes, _ = _run(script, b'a', is_idempotent=False)
+    assert outcomes[0].verdict is Verdict.MAY_HAVE_RUN
+    assert outcomes[0].reason is Reason.TARGET_ANSWER_INVALID
+
+
 @pytest.mark.parametrize('is_idempotent', [False, True])
 def test_cut_copy_before_the_own_answer_is_no_proof_of_not_run(
     is_idempotent: bool,
