--- a/packages/daemon/src/turmericrouter_daemon/target_connection.py
+++ b/packages/daemon/src/turmericrouter_daemon/target_connection.py
@@ -27,7 +27,13 @@
 _HEAD_END = b'\r\n\r\n'
 _MAX_HEAD_BYTES = 65_536
 _FIRST_FINAL_STATUS = 200
+# Answers name no request. A refusal that the target writes once more would
+# tell the next request of the connection that it has not run.
+_REFUSAL_STATUS = 503
 _BODYLESS_STATUSES = frozenset({204, 304})
+# Start of an answer, with its status. In the phrase or a header of an answer
+# it shows that the target stopped there and began the next answer.
+_find_status_line = re.compile(rb'HTTP/1\.[01] [1-9][0-9][0-9]').search
 _TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _is_path = re.compile(r'/[^\x00-\x20\x7f]*|\*').fullmatch
 
@@ -100,6 +106,12 @@
     )
 
 
+def _contains_status_line(message: Any) -> bool:
+    values = [value for _, value in message.raw_headers]
+    values.append(message.reason.encode(HEADER_ENCODING, 'replace'))
+    return _find_status_line(b'\n'.join(values)) is not None
+
+
 class TargetConnection(BaseProtocol):
     """One connection, used for one request at a time."""
 
@@ -188,6 +200,8 @@
         self.transport.write(data)
         assert self._head is not None
         message, payload = await self._head
+        if _contains_status_line(message):
+            raise AnswerInvalidError('another answer begins in the head')
         body = await self._read(payload, max_answer_bytes)
         self._parser = self._head = self._payload = None
         self.used = True
@@ -196,7 +210,10 @@
             # Either the length or the body is wrong; which one is unknown.
             raise AnswerInvalidError('bytes beyond the end of the answer')
         self.reusable = (
-            not message.should_close and self.is_open and excess == 0
+            not message.should_close
+            and self.is_open
+            and excess == 0
+            and message.code != _REFUSAL_STATUS
         )
         headers = tuple(
             [
--- a/packages/dataplane/src/turmericrouter_dataplane/http_client.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/http_client.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import Callable
 import enum
+import re
 import socket
 import time
 from typing import cast
@@ -25,6 +26,10 @@
 # Ids that a connection remembers, to notice one that is sent again. A late
 # copy comes where one of the next answers is expected, not many answers later.
 _MAX_SENT_IDS = 64
+# Start of an answer, with its status. In the phrase or a header of an answer
+# it shows that the target stopped there and began the next answer.
+_PROTOCOL = b'HTTP/1.'
+_find_status_line = re.compile(rb'HTTP/1\.[01] [1-9][0-9][0-9]').search
 
 
 class Failure(enum.Enum):
@@ -42,10 +47,9 @@
         head: Status line and the headers that may be forwarded.
         headers: All headers by lower-case name.
         body: Complete body without transfer coding.
-        is_attributed: Whether the answer has the id of the request, or is
-            the first final answer on its connection.
-        is_repeated_id: Whether an earlier request on the connection had the
-            same id, so that even an attributed answer may be the one to it.
+        is_attributed: Whether the answer certainly belongs to the request:
+            it is the first on its connection, or has an id that no earlier
+            request on the connection had.
     """
 
     __slots__ = (
@@ -53,7 +57,6 @@
         'head',
         'headers',
         'is_attributed',
-        'is_repeated_id',
         'status',
     )
 
@@ -65,14 +68,12 @@
         body: bytes,
         *,
         is_attributed: bool = True,
-        is_repeated_id: bool = False,
     ) -> None:
         self.status = status
         self.head = head
         self.headers = headers
         self.body = body
         self.is_attributed = is_attributed
-        self.is_repeated_id = is_repeated_id
 
 
 AnswerCallback = Callable[[HttpResponse | Failure], None]
@@ -116,13 +117,16 @@
         self._transport: asyncio.Transport | None = None
         self._callback: AnswerCallback | None = None
         self._expected_id = b''
-        self._is_repeated_id = False
+        self._is_new_id = False
         self._sent_ids: collections.deque[bytes] = collections.deque(
             maxlen=_MAX_SENT_IDS
         )
         self._is_head_request = False
         self._headers: dict[bytes, bytes] = {}
         self._header_lines: list[bytes] = []
+        # Phrase and values of headers that are not forwarded.
+        self._dropped_parts: list[bytes] = []
+        self._has_merged_heads = False
         self._body: list[bytes] = []
         self._in_message = False
         self._headers_done = False
@@ -158,6 +162,14 @@
             and transport.get_write_buffer_size() == 0
         )
 
+    def can_attribute(self, request_id: bytes) -> bool:
+        """Return whether the answer to a request will be certainly its own.
+
+        Args:
+            request_id: Id of the request, empty if it has none.
+        """
+        return not self._answer_count or self._has_not_sent(request_id)
+
     def send(
         self,
         data: bytes,
@@ -177,7 +189,7 @@
         assert self._transport is not None
         self._callback = callback
         self._expected_id = expected_id
-        self._is_repeated_id = expected_id in self._sent_ids
+        self._is_new_id = self._has_not_sent(expected_id)
         if expected_id:
             self._sent_ids.append(expected_id)
         self._is_head_request = is_head
@@ -196,6 +208,10 @@
         if self._transport is not None:
             self._transport.close()
 
+    def end_reuse(self) -> None:
+        """Let no further request go over this connection."""
+        self._must_close = True
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set its user timeout."""
         self._transport = cast(asyncio.Transport, transport)
@@ -217,7 +233,7 @@
             self._must_close = True
             if self._answer is None:
                 self._fail(Failure.INVALID)
-        if self._is_head_too_large():
+        if self._has_merged_heads or self._is_head_too_large():
             self._fail(Failure.INVALID)
         self._deliver()
 
@@ -226,6 +242,8 @@
         if self._headers_done and self._is_unframed():
             self._must_close = True
             self._finish_message()
+            if self._has_merged_heads:
+                self._fail(Failure.INVALID)
             self._deliver()
         return False
 
@@ -247,8 +265,13 @@
         self._headers_done = False
         self._headers = {}
         self._header_lines = []
+        self._dropped_parts = []
         self._body = []
 
+    def on_status(self, part: bytes) -> None:
+        """Add a part of the phrase of the status line."""
+        self._dropped_parts.append(part)
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; trailers after a chunked body are not forwarded."""
         if self._headers_done:
@@ -257,6 +280,8 @@
         self._headers[lower] = value
         if lower not in self._dropped_headers:
             self._header_lines.append(b'%b: %b\r\n' % (name, value))
+        else:
+            self._dropped_parts.append(value)
 
     def on_headers_complete(self) -> None:
         """Finish the answer to a HEAD request, which has no body."""
@@ -273,6 +298,10 @@
         """Finish an answer."""
         self._finish_message()
 
+    def _has_not_sent(self, request_id: bytes) -> bool:
+        """Return whether a request has an id that no earlier one had."""
+        return bool(request_id) and request_id not in self._sent_ids
+
     def _is_unframed(self) -> bool:
         headers = self._headers
         return (
@@ -288,6 +317,11 @@
         status = self._parser.get_status_code()
         if status < 200 or self._answer is not None:
             return
+        header_lines = b''.join(self._header_lines)
+        text = header_lines + b''.join(self._dropped_parts)
+        if _PROTOCOL in text and _find_status_line(text):
+            self._has_merged_heads = True
+            return
         self._answer_count += 1
         headers = self._headers
         echoed = headers.get(self._id_header, b'')
@@ -296,21 +330,21 @@
             # follow.
             self._must_close = True
             return
-        is_attributed = bool(echoed) or self._answer_count == 1
+        is_attributed = self._answer_count == 1 or (
+            bool(echoed) and self._is_new_id
+        )
         # The request's own answer may follow one that is not certainly it.
-        is_certain = is_attributed and not self._is_repeated_id
-        may_be_followed = bool(self._id_header) and not is_certain
+        may_be_followed = bool(self._id_header) and not is_attributed
         if may_be_followed or not self._parser.should_keep_alive():
             self._must_close = True
         self._read_keep_alive(headers)
         body = self._body
         self._answer = HttpResponse(
             status,
-            status_line(status) + b''.join(self._header_lines),
+            status_line(status) + header_lines,
             headers,
             body[0] if len(body) == 1 else b''.join(body),
             is_attributed=is_attributed,
-            is_repeated_id=self._is_repeated_id,
         )
 
     def _answers_other_request(self, status: int, echoed: bytes) -> bool:
@@ -368,6 +402,7 @@
         self._received_bytes = 0
         self._body = []
         self._header_lines = []
+        self._dropped_parts = []
 
     def _fail(self, failure: Failure) -> None:
         callback, self._callback = self._callback, None
--- a/tests/daemon/test_target_connection.py
+++ b/tests/daemon/test_target_connection.py
@@ -24,6 +24,7 @@
 
 HEAD = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n'
 ANSWER = HEAD + b'first'
+REFUSAL = b'HTTP/1.1 503 X\r\nTurmeric-Not-Run: 1\r\nContent-Length: 0\r\n\r\n'
 CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 
 
@@ -104,6 +105,36 @@
     _with_pool(script, check)
 
 
+@pytest.mark.parametrize('idempotent', [True, False])
+def test_late_refusal_does_not_answer_the_next_request(
+    idempotent: bool,
+) -> None:
+    """Fails if a refusal written once more tells a request "not run"."""
+
+    async def script(request: ScriptedRequest) -> None:
+        if request.writer is target.requests[0].writer:
+            await request.send(REFUSAL)
+        else:
+            await request.answer(b'own')
+
+    target = ScriptedTarget(script)
+
+    async def run() -> None:
+        async with target, asyncio.timeout(20):
+            pool = TargetPool(
+                '127.0.0.1',
+                target.port,
+                connect_timeout_s=5.0,
+                max_answer_bytes=1000,
+            )
+            assert (await pool.send(_request())).status == 503
+            answer = await pool.send(_request(idempotent=idempotent))
+            assert (answer.status, answer.body) == (200, b'own')
+            pool.close()
+
+    asyncio.run(run())
+
+
 FAULTS = [
     ([], TargetBrokenError),
     ([HEAD[:20]], TargetBrokenError),
@@ -247,6 +278,26 @@
     _with_pool(script, check)
 
 
+def test_cut_answer_does_not_merge_with_the_next_one() -> None:
+    """Fails if a body counts under the status of another answer.
+
+    The second answer begins in the phrase or a header of the first one.
+    """
+    cut = b'HTTP/1.1 200 Done\r\nX-A: b\r\nX-Last: 1\r\n'
+    own = ANSWER.replace(b'200 OK', b'500 Failed')
+
+    async def script(request: ScriptedRequest) -> None:
+        await request.send(cut[: request.number] + own)
+
+    async def check(target: ScriptedTarget, pool: TargetPool) -> None:
+        for _ in cut:
+            with pytest.raises(AnswerInvalidError):
+                await pool.send(_request())
+        assert target.connections == len(cut)
+
+    _with_pool(script, check)
+
+
 @pytest.mark.parametrize('is_reset', [False, True])
 def test_answer_without_a_length_ends_with_its_connection(
     is_reset: bool,
