Report which document a host has, not its version only

Cause: after a return of the log from an older copy a version may be given out again for another document. Statuses and heartbeats told the version only, so a host that missed the copy of the second document looked up to date to all peers and kept the lost one until the next version.

Ruled out: reports with the era of the document alone. Each return raises the era of the same document at the log readers only, so all other hosts would be sent the whole configuration again. A digest alone: two hosts with documents of one era would send each other copies in every heartbeat.

Before and after: pytest tests/dataplane/test_members.py -k missed_a_copy. With the earlier code the cases "5 lost" and "5 later" fail, as both documents stay in force; all four pass now, and equal documents of two eras cause no copy. Older daemons read the longer frames, and their frames are read (test_frames.py); a host of that release still waits for the next version.

Conclusion: a host lacks a document if the peer's version is higher, or if it is the same, the digests differ and the peer's is of a later era.

--- a/packages/dataplane/src/turmericrouter_dataplane/config_feed.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/config_feed.py
@@ -5,6 +5,8 @@
 import random
 import time
 
+import xxhash
+
 from turmericrouter_core.errors import ConfigError
 from turmericrouter_core.errors import LogServiceError
 from turmericrouter_dataplane.decision_log import DecisionLog
@@ -13,7 +15,9 @@
 from turmericrouter_dataplane.log_service import LogService
 from turmericrouter_dataplane.log_service import RecordPage
 from turmericrouter_dataplane.log_service import Stream
+from turmericrouter_dataplane.policy.config_order import ConfigIdentity
 from turmericrouter_dataplane.policy.config_order import may_supersede
+from turmericrouter_dataplane.policy.config_order import UNKNOWN_DIGEST
 from turmericrouter_dataplane.policy.log_era import LogEra
 from turmericrouter_dataplane.policy.log_era import LogPosition
 from turmericrouter_dataplane.policy.log_era import UNKNOWN_ERA
@@ -72,8 +76,14 @@
         self.document = b''
         # Newest era of the log that held the document.
         self.document_era = UNKNOWN_ERA
+        self._digest = UNKNOWN_DIGEST
         self.applied_at = 0.0
 
+    @property
+    def identity(self) -> ConfigIdentity:
+        """Return what names the configuration among those of the fleet."""
+        return ConfigIdentity(self.version, self.document_era, self._digest)
+
     @property
     def is_connected(self) -> bool:
         """Return whether the last read of the log succeeded."""
@@ -145,6 +155,7 @@
         before, self.version = self.version, config.version
         self.document = document
         self.document_era = era
+        self._digest = xxhash.xxh32_intdigest(document)
         self.applied_at = time.monotonic()
         self._apply(config)
         self._log.event(
--- a/packages/dataplane/src/turmericrouter_dataplane/config_sharing.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/config_sharing.py
@@ -9,11 +9,12 @@
 from turmericrouter_dataplane.frames import Introduction
 from turmericrouter_dataplane.links import Link
 from turmericrouter_dataplane.links import LinkPool
+from turmericrouter_dataplane.policy.config_order import ConfigIdentity
 from turmericrouter_dataplane.policy.target_chooser import TargetChooser
 from turmericrouter_dataplane.policy.watchers import WatchedHosts
 
-# A peer with an older configuration is sent the current one after this time;
-# by then it should have its copy. Its watchers and bootstrap peers send it
+# A peer that lacks the current configuration is sent it after this time; by
+# then it should have its copy. Its watchers and bootstrap peers send it
 # first, other hosts only after the longer time.
 _CONFIG_LAG_S = 0.5
 _MAX_CONFIG_LAG_S = 3.0
@@ -50,7 +51,7 @@
         self._pool = pool
         self._watched = watched
         self._era_watch = era_watch
-        # When each lagging host first reported an older configuration.
+        # When each lagging host first reported another configuration.
         self._lagging_since: dict[str, float] = {}
 
     def copy_to_domain(self) -> None:
@@ -63,17 +64,17 @@
             if view is not None and view.record.domain == domain:
                 link.send_encoded(copy)
 
-    def record_version(
-        self, record: HostRecord, version: int, now: float
+    def record_config(
+        self, record: HostRecord, config: ConfigIdentity, now: float
     ) -> None:
-        """Handle the version that a host reports, and help it if it lags.
+        """Handle the configuration that a host reports; help it if it lags.
 
         Args:
             record: Record of the host.
-            version: Version in force there; -1 for none.
+            config: Configuration in force there.
             now: Monotonic seconds.
         """
-        if version >= self._config.version:
+        if not config.is_older_than(self._config.identity):
             self.forget(record.name)
             return
         since = self._lagging_since.setdefault(record.name, now)
@@ -85,7 +86,7 @@
         ):
             return
         link.send(self._copy())
-        self.introduce(record.name, version, link)
+        self.introduce(record.name, config.version, link)
 
     def introduce(self, host: str, version: int, link: Link) -> None:
         """Send the known hosts to a peer that may not know them.
--- a/packages/dataplane/src/turmericrouter_dataplane/frames.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/frames.py
@@ -17,6 +17,8 @@
 
 # Reported by a host that knows no era of the log, and by older daemons.
 _UNKNOWN_ERA = -1
+# Reported by a host without a configuration, and by older daemons.
+_UNKNOWN_DIGEST = 0
 
 # Revision of the frames. A daemon closes a link on a frame that it does not
 # know, so newer frames go only to peers that report at least their revision.
@@ -64,6 +66,9 @@
         protocol: Revision of the frames that the daemon can read.
         reads_log: Whether the daemon's last read of the log succeeded.
         log_era: Newest era of the log that the daemon knows of; -1 for none.
+        config_era: Newest era of the log that held the configuration in force;
+            -1 if unknown.
+        config_digest: Digest of the configuration in force; 0 if unknown.
     """
 
     host: HostRecord
@@ -75,6 +80,8 @@
     protocol: int = 0
     reads_log: bool = True
     log_era: int = _UNKNOWN_ERA
+    config_era: int = _UNKNOWN_ERA
+    config_digest: int = _UNKNOWN_DIGEST
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag=11):
@@ -86,6 +93,8 @@
         waiting: Requests that wait at the gate.
         is_watched: Whether the receiver shall report the sender's silence.
         log_era: Newest era of the log that the sender knows of; -1 for none.
+        config_era: As in `Status`.
+        config_digest: As in `Status`.
     """
 
     config_version: int
@@ -93,6 +102,8 @@
     waiting: int
     is_watched: bool = False
     log_era: int = _UNKNOWN_ERA
+    config_era: int = _UNKNOWN_ERA
+    config_digest: int = _UNKNOWN_DIGEST
 
 
 class Dispatch(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/packages/dataplane/src/turmericrouter_dataplane/host_reports.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/host_reports.py
@@ -33,9 +33,10 @@
             is_leaving: Whether the daemon is about to stop.
         """
         gate = self._gate
+        config = self._config.identity
         return Status(
             record,
-            self._config.version,
+            config.version,
             gate.running,
             gate.waiting,
             gate.limit,
@@ -43,15 +44,20 @@
             PROTOCOL_REVISION,
             self._config.is_connected,
             self._era_watch.current,
+            config.era,
+            config.digest,
         )
 
     def heartbeat(self, *, is_watched: bool) -> Heartbeat:
         """Return a heartbeat for a watcher of this host, or for another."""
         gate = self._gate
+        config = self._config.identity
         return Heartbeat(
-            self._config.version,
+            config.version,
             gate.running,
             gate.waiting,
             is_watched,
             self._era_watch.current,
+            config.era,
+            config.digest,
         )
--- a/packages/dataplane/src/turmericrouter_dataplane/members.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/members.py
@@ -29,6 +29,7 @@
 from turmericrouter_dataplane.host_reports import HostReports
 from turmericrouter_dataplane.links import Link
 from turmericrouter_dataplane.links import LinkPool
+from turmericrouter_dataplane.policy.config_order import ConfigIdentity
 from turmericrouter_dataplane.policy.crash_records import CrashRecords
 from turmericrouter_dataplane.policy.log_readers import is_log_reader
 from turmericrouter_dataplane.policy.reachable_hosts import find_reachable
@@ -478,7 +479,10 @@
         host = view.record.name
         self._last_seen_at[host] = now
         self._pool.reconnect(host)
-        self._sharing.record_version(view.record, report.config_version, now)
+        config = ConfigIdentity(
+            report.config_version, report.config_era, report.config_digest
+        )
+        self._sharing.record_config(view.record, config, now)
         self.on_peer_version(host, report.config_version)
 
     def _status(self) -> Status:
--- a/tests/dataplane/test_members.py
+++ b/tests/dataplane/test_members.py
@@ -4,10 +4,15 @@
 import random
 from typing import Any
 
+import pytest
+
+from dataplane_values import make_config
 from dataplane_values import make_record
 from dataplane_values import NAMES
+from turmericrouter_dataplane.config_feed import ConfigFeed
 from turmericrouter_dataplane.decision_log import DecisionLog
 from turmericrouter_dataplane.era_watch import EraWatch
+from turmericrouter_dataplane.frames import ConfigCopy
 from turmericrouter_dataplane.frames import Heartbeat
 from turmericrouter_dataplane.frames import HostRecord
 from turmericrouter_dataplane.frames import Introduction
@@ -17,6 +22,7 @@
 from turmericrouter_dataplane.links import Link
 from turmericrouter_dataplane.links import LinkServer
 from turmericrouter_dataplane.members import Members
+from turmericrouter_dataplane.policy.config_order import ConfigIdentity
 from turmericrouter_dataplane.policy.crash_records import CrashRecords
 from turmericrouter_dataplane.policy.log_era import LogEra
 from turmericrouter_dataplane.policy.retry_budget import RetryBudget
@@ -32,12 +38,15 @@
     document = b''
     applied_at = 0.0
     is_connected = True
+    identity = ConfigIdentity(1, 0, 0)
 
 
-def make_members(name: str) -> tuple[Members, TargetChooser]:
+def make_members(
+    name: str, config: Any = None
+) -> tuple[Members, TargetChooser]:
     chooser = TargetChooser(name, 'north', random.Random(1))
     log = DecisionLog(name)
-    config: Any = _Config()
+    config = config or _Config()
     timers = TimerService(lambda name, error: None)
     members = Members(
         make_record(name),
@@ -246,3 +255,92 @@
         members.stop()
 
     asyncio.run(work())
+
+
+def _make_feed(document: bytes, era: int) -> ConfigFeed:
+    unused: Any = None
+    feed = ConfigFeed(
+        unused,
+        LogEra(),
+        lambda document: make_config(version=int(document.split()[0])),
+        lambda config: None,
+        DecisionLog('feed'),
+        random.Random(1),
+    )
+    feed.offer(document, 'log', era)
+    # Copies are sent only some time after a change.
+    feed.applied_at = 0.0
+    return feed
+
+
+async def _start_linked(
+    feeds: dict[str, ConfigFeed],
+) -> tuple[list[Members], list[LinkServer]]:
+    """Start hosts with these configurations, each linked to all others."""
+    hosts = {name: make_members(name, feed)[0] for name, feed in feeds.items()}
+    servers = []
+    addresses = {}
+    for name, members in hosts.items():
+        server = LinkServer(members)
+        await server.start('127.0.0.1', 0)
+        assert server._server is not None
+        port = server._server.sockets[0].getsockname()[1]
+        addresses[name] = f'127.0.0.1:{port}'
+        servers.append(server)
+    records = [
+        HostRecord(name, address, 'north', 'design')
+        for name, address in addresses.items()
+    ]
+    for record in records:
+        hosts[record.name].update_own_record(record)
+        for members in hosts.values():
+            members.add(record)
+    return list(hosts.values()), servers
+
+
+@pytest.mark.parametrize(
+    ('document', 'era', 'expected'),
+    [
+        (b'5 lost', 0, b'5'),
+        (b'5', 0, b'5'),
+        (b'5 later', 2, b'5 later'),
+        (b'4', 0, b'5'),
+    ],
+)
+def test_host_that_missed_a_copy_gets_the_document(
+    document: bytes, era: int, expected: bytes
+) -> None:
+    """Guards against a host that keeps a document that the log has lost.
+
+    The log gave its version out again, for the document that the others got.
+    A copy crosses the link only if the documents differ.
+    """
+
+    async def work() -> None:
+        feeds = {'own': _make_feed(b'5', 1), 'far': _make_feed(document, era)}
+        hosts, servers = await _start_linked(feeds)
+        copies: list[ConfigCopy] = []
+        for members in hosts:
+            handle = members._handle_config
+
+            def count(
+                link: Link, frame: ConfigCopy, handle: Any = handle
+            ) -> None:
+                copies.append(frame)
+                handle(link, frame)
+
+            members._handlers[ConfigCopy] = count
+        await _until(lambda: all(members.links_open for members in hosts))
+        for _ in range(20):
+            for members in hosts:
+                members._heartbeat_sent_at = 0.0
+                members.send_heartbeat()
+            await asyncio.sleep(0.01)
+        assert {feed.document for feed in feeds.values()} == {expected}
+        assert bool(copies) is (document != b'5')
+        for members in hosts:
+            members.stop()
+        for server in servers:
+            server.stop()
+
+    asyncio.run(work())
