Let only hosts that are up to date help a lagging host

Cause: a host with an older configuration is sent the newest one at once only by its bootstrap peers, of which two are of its own failure domain and two of the fleet. If the domain restarts as a whole after a return of the log, all four may be hosts of it that have read the same older copy.

Ruled out: copies from every host that is up to date. They are not needed: at most two hosts of the other domains send one.

Before and after: pytest tests/dataplane/test_members.py -k domain_that. 12 hosts of 15 restart with version 4, three have version 5. By reading, such a host depended on its first heartbeat to a watcher a second later, and if all its watchers were of its domain it served the older configuration after 3 s. That was not played with processes.

Conclusion: hosts that lag are no bootstrap peers.

--- a/packages/dataplane/src/turmericrouter_dataplane/config_sharing.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/config_sharing.py
@@ -114,6 +114,9 @@
 
         All hosts select the same few, so that a starting host does not get
         the same configuration from every other host.
+
+        A host that lags itself cannot help. Hosts of a failure domain that
+        restarts as a whole may all have read the same older configuration.
         """
         views = self._chooser.views
         others = [
@@ -122,6 +125,7 @@
             if name != host
             and (view.is_linked or name == self._host)
             and not view.is_leaving
+            and name not in self._lagging_since
         ]
         domain = views[host].record.domain
         near = [name for name in others if views[name].record.domain == domain]
--- a/tests/dataplane/test_members.py
+++ b/tests/dataplane/test_members.py
@@ -344,3 +344,44 @@
             server.stop()
 
     asyncio.run(work())
+
+
+def test_domain_that_restarts_gets_the_newest_configuration() -> None:
+    """Guards against bootstrap peers that are out of date themselves.
+
+    A whole failure domain has read an older copy of the log. The few hosts
+    that are chosen to help each of them may all be of that domain.
+    """
+
+    async def work() -> None:
+        restarted = [f'south-{number}' for number in range(12)]
+        up_to_date = [f'north-{number}' for number in range(3)]
+        records = {
+            name: HostRecord(
+                name, f'127.0.0.1:{number}', name.partition('-')[0], 'design'
+            )
+            for number, name in enumerate(restarted + up_to_date, start=1)
+        }
+        senders: dict[str, list[str]] = {name: [] for name in restarted}
+        for name in up_to_date:
+            members, chooser = make_members(name, _make_feed(b'5', 0))
+            for record in records.values():
+                chooser.update(record).is_linked = True
+            links: dict[str, Any] = {
+                other: _RecordingLink(other) for other in restarted
+            }
+            pool: Any = members._pool
+            pool._links = links
+            pool.connect = lambda peer, address: None
+            # The second time, all versions are known.
+            for _ in range(2):
+                for other, link in links.items():
+                    members.handle(link, Status(records[other], 4))
+            for other, link in links.items():
+                if any(isinstance(frame, ConfigCopy) for frame in link.sent):
+                    senders[other].append(name)
+        assert all(senders.values()), senders
+        # Others do not send the same configuration once more.
+        assert sum(map(len, senders.values())) < 3 * len(restarted)
+
+    asyncio.run(work())
