Ask peers before a start also if the directory is read late

Cause: a daemon that has just started served one second after it knew a configuration, although it may not have known a peer by then. The directory is a second call to the log, which may be slow or refused just after its return from an older copy. A newer version that a peer told later than that had no time to arrive, as its time-out began with the configuration too.

Ruled out: serving only with the directory. A log that refuses it for long would keep the host out; peers that know the host dial it within two seconds, so it waits three.

Before and after: pytest tests/platform/test_restored_store.py -k without_the_directory. The four new tests of test_start_check.py fail each time on the earlier code. The test of a withdrawn key with a directory keeps its bounds.

Conclusion: the time-outs begin when the peers, or the newer version, are known.

--- a/packages/dataplane/src/turmericrouter_dataplane/policy/start_check.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/start_check.py
@@ -5,10 +5,14 @@
 """
 
 from collections.abc import Collection
+import math
 
 # Without a word of a peer, a host that knows of others serves after this
 # time; then it is alone, or all of them have just started too.
 PEER_TIMEOUT_S = 1.0
+# Without the directory a host knows no peer to ask. Peers that know of it dial
+# it at least every two seconds.
+DIRECTORY_TIMEOUT_S = 3.0
 # Time for the version that a peer has reported to arrive.
 NEWER_VERSION_TIMEOUT_S = 3.0
 # Further peers get this time after the first answer, as that one may have
@@ -24,8 +28,13 @@
     def __init__(self) -> None:
         self._versions: dict[str, int] = {}
         self._has_directory = False
-        self._config_since: float | None = None
+        # Since when a configuration is known; infinite before that.
+        self._config_since = math.inf
+        # Since when both a configuration and the directory are known.
+        self._peers_since = math.inf
         self._answered_at: float | None = None
+        # When a version was first seen to be newer than the known one.
+        self._outdated_since: float | None = None
         self._is_done = False
 
     @property
@@ -60,27 +69,24 @@
             now: Monotonic seconds.
         """
         if not self._is_done and version >= 0:
-            if self._config_since is None:
-                self._config_since = now
-            self._is_done = self._may_serve(
-                version, peers, linked, now, now - self._config_since
-            )
+            self._config_since = min(self._config_since, now)
+            if self._has_directory:
+                self._peers_since = min(self._peers_since, now)
+            self._is_done = self._may_serve(version, peers, linked, now)
         return self._is_done
 
     def _may_serve(
-        self,
-        version: int,
-        peers: int,
-        linked: Collection[str],
-        now: float,
-        waited_s: float,
+        self, version: int, peers: int, linked: Collection[str], now: float
     ) -> bool:
+        is_overdue = self._is_overdue(now)
         if self._answered_at is None:
             is_alone = self._has_directory and not peers
-            return is_alone or waited_s >= PEER_TIMEOUT_S
+            return is_alone or is_overdue
         if self.newest_version > version:
-            return waited_s >= NEWER_VERSION_TIMEOUT_S
-        if waited_s >= PEER_TIMEOUT_S:
+            if self._outdated_since is None:
+                self._outdated_since = now
+            return now - self._outdated_since >= NEWER_VERSION_TIMEOUT_S
+        if is_overdue:
             return True
         answers = len(self._versions)
         if answers < _MAX_ANSWERS and any(
@@ -88,3 +94,9 @@
         ):
             return False
         return 2 * answers > peers or now - self._answered_at >= _SETTLE_S
+
+    def _is_overdue(self, now: float) -> bool:
+        """Return whether the peers have had the time to answer."""
+        if math.isinf(self._peers_since):
+            return now - self._config_since >= DIRECTORY_TIMEOUT_S
+        return now - self._peers_since >= PEER_TIMEOUT_S
--- a/tests/dataplane/test_start_check.py
+++ b/tests/dataplane/test_start_check.py
@@ -3,6 +3,7 @@
 And against one that waits for peers that cannot answer.
 """
 
+from turmericrouter_dataplane.policy.start_check import DIRECTORY_TIMEOUT_S
 from turmericrouter_dataplane.policy.start_check import NEWER_VERSION_TIMEOUT_S
 from turmericrouter_dataplane.policy.start_check import PEER_TIMEOUT_S
 from turmericrouter_dataplane.policy.start_check import StartCheck
@@ -68,3 +69,52 @@
     check.record_version('a', 7, 0.0)
     assert not check.update(4, 1, ('a',), 0.0)
     assert check.update(4, 1, ('a',), NEWER_VERSION_TIMEOUT_S)
+
+
+def test_peers_are_awaited_after_a_slow_read_of_the_directory() -> None:
+    """Guards against a start that nobody could have been asked about.
+
+    The log answers slowly after its return: with an older configuration
+    first, and with the peers only later.
+    """
+    check = StartCheck()
+    assert not check.update(4, 0, (), 0.0)
+    assert not check.update(4, 0, (), 1.5 * PEER_TIMEOUT_S)
+    check.record_directory()
+    assert not check.update(4, 9, (), 1.5 * PEER_TIMEOUT_S)
+    now = 1.6 * PEER_TIMEOUT_S
+    check.record_version('starting', 4, now)
+    assert not check.update(4, 9, ('starting', 'a'), now)
+    check.record_version('a', 7, now)
+    assert not check.update(4, 9, ('starting', 'a'), now)
+    assert check.update(7, 9, ('starting', 'a'), now + 0.1)
+
+
+def test_timeout_without_an_answer_starts_with_the_directory() -> None:
+    """Guards against a host that waits for peers that are all gone."""
+    check = StartCheck()
+    assert not check.update(4, 0, (), 0.0)
+    check.record_directory()
+    assert not check.update(4, 9, (), 1.5)
+    assert not check.update(4, 9, (), 1.5 + 0.9 * PEER_TIMEOUT_S)
+    assert check.update(4, 9, (), 1.5 + PEER_TIMEOUT_S)
+
+
+def test_host_serves_if_the_directory_cannot_be_read() -> None:
+    """Guards against a start that depends on the log."""
+    check = StartCheck()
+    assert not check.update(4, 0, (), 0.0)
+    assert not check.update(4, 0, (), 0.9 * DIRECTORY_TIMEOUT_S)
+    assert check.update(4, 0, (), DIRECTORY_TIMEOUT_S)
+
+
+def test_newer_version_that_is_told_late_has_time_to_arrive() -> None:
+    """Guards against a copy that comes just after the host serves."""
+    check = StartCheck()
+    assert not check.update(4, 1, (), 0.0)
+    told_at = 0.9 * DIRECTORY_TIMEOUT_S
+    check.record_version('a', 7, told_at)
+    assert not check.update(4, 1, ('a',), told_at)
+    almost = told_at + 0.9 * NEWER_VERSION_TIMEOUT_S
+    assert not check.update(4, 1, ('a',), almost)
+    assert check.update(4, 1, ('a',), told_at + NEWER_VERSION_TIMEOUT_S)
--- a/tests/platform/standin_store.py
+++ b/tests/platform/standin_store.py
@@ -27,6 +27,8 @@
         self.records: dict[str, list[tuple[str, bytes]]] = {}
         self.first: dict[str, int] = {}
         self.fault = Fault.NONE
+        # Topics whose calls are refused with 503.
+        self.busy_topics: frozenset[str] = frozenset()
         self.calls = 0
         self.era = 0
         self._changed = asyncio.Event()
@@ -87,7 +89,10 @@
         self.calls += 1
         if self.fault is Fault.SLOW:
             await asyncio.sleep(SLOW_ANSWER_DELAY_S)
-        if self.fault is Fault.BUSY:
+        if (
+            self.fault is Fault.BUSY
+            or request.query['topic'] in self.busy_topics
+        ):
             return web.Response(status=503)
         if self.fault is Fault.RESET:
             assert request.transport is not None
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -20,6 +20,8 @@
 
 # A confirmed configuration is in force within this time.
 _APPLY_S = 4.0
+# Without the directory, a restarted daemon waits until its peers dial it.
+_APPLY_WITHOUT_DIRECTORY_S = 8.0
 _QUIET_AFTER_S = LONG_POLL_S + 1.0
 _RISEN = 'log_era_risen'
 _HOSTS = 'keyed.turmeric-hosts'
@@ -157,45 +159,80 @@
     asyncio.run(work())
 
 
-def test_restart_after_the_return_accepts_no_withdrawn_key(
-    tmp_path: pathlib.Path,
-) -> None:
-    """Guards against a start that serves the configuration of the copy.
+async def _restart_on_older_copy(
+    folder: pathlib.Path,
+    *,
+    apply_s: float = _APPLY_S,
+    down_s: float = 0.0,
+    busy_topics: frozenset[str] = frozenset(),
+) -> set[int]:
+    """Withdraw a key, and restart a host on a copy of before.
 
     The version that withdrew the key is lost until the operator writes it
     again; the other hosts have it in force.
+
+    Args:
+        folder: Where settings and output are kept.
+        apply_s: Time after its start in which the host refuses the key.
+        down_s: How long the host is down.
+        busy_topics: Topics that the store refuses calls to.
+
+    Returns:
+        The statuses of requests with the key until it is refused.
     """
+    services = ('design', 'works', 'design')
+    async with run_fleet(folder, services) as fleet:
+        restarted = fleet.hosts[0]
+        copy = fleet.store.copy()
+        document = make_config(version=2)
+        document['tenants']['rows'][0][1] = ['another']
+        fleet.publish(document)
+        for host in fleet.hosts:
+            await fleet.wait_for_status(host, '/read/1', 401)
+        await asyncio.sleep(0.6)
+        restarted.send_signal(signal.SIGKILL)
+        await restarted.wait_for_exit()
+        await asyncio.sleep(down_s)
+        fleet.store.restore(copy)
+        fleet.store.busy_topics = busy_topics
+        restarted.launch()
+        statuses = set()
+        async with asyncio.timeout(apply_s):
+            while 401 not in statuses:
+                try:
+                    answer = await fleet.request(restarted, '/read/1')
+                    statuses.add(answer[0])
+                except aiohttp.ClientError:
+                    pass
+                await asyncio.sleep(0.002)
+        answer = await fleet.request(restarted, '/read/1', key='another')
+        assert answer[0] == 200
+        return statuses
 
-    async def work() -> None:
-        services = ('design', 'works', 'design')
-        async with run_fleet(tmp_path, services) as fleet:
-            restarted = fleet.hosts[0]
-            copy = fleet.store.copy()
-            document = make_config(version=2)
-            document['tenants']['rows'][0][1] = ['another']
-            fleet.publish(document)
-            for host in fleet.hosts:
-                await fleet.wait_for_status(host, '/read/1', 401)
-            await asyncio.sleep(0.6)
-            restarted.send_signal(signal.SIGKILL)
-            await restarted.wait_for_exit()
-            fleet.store.restore(copy)
-            restarted.launch()
-            statuses = set()
-            async with asyncio.timeout(_APPLY_S):
-                while 401 not in statuses:
-                    try:
-                        answer = await fleet.request(restarted, '/read/1')
-                        statuses.add(answer[0])
-                    except aiohttp.ClientError:
-                        pass
-                    await asyncio.sleep(0.002)
-            assert statuses <= {401, 503}
-            assert (await fleet.request(restarted, '/read/1', key='another'))[
-                0
-            ] == 200
 
-    asyncio.run(work())
+def test_restart_after_the_return_accepts_no_withdrawn_key(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a start that serves the configuration of the copy."""
+    work = _restart_on_older_copy(tmp_path)
+    assert asyncio.run(work) <= {401, 503}
+
+
+def test_restart_without_the_directory_accepts_no_withdrawn_key(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a start that serves before it knows any peer.
+
+    After a longer outage of the host its peers dial it only every two
+    seconds.
+    """
+    work = _restart_on_older_copy(
+        tmp_path,
+        apply_s=_APPLY_WITHOUT_DIRECTORY_S,
+        down_s=_QUIET_AFTER_S,
+        busy_topics=frozenset({_HOSTS}),
+    )
+    assert asyncio.run(work) <= {401, 503}
 
 
 def test_version_given_out_again_replaces_the_lost_document(
