Notice a return of the log within two seconds

Cause: a reader whose read outlives the return waits at an offset above the log's end. It learns of the return from a peer only, or when its read ends after up to 5 s. All readers read from the same moment on, as a record ends the reads of all of them, so none could tell the others earlier.

Ruled out: the era from other calls. Readers make none for 20 s between two loads of the directory. Earlier tests missed this as records ended the reads, or as the first loads of the directory after a start showed the era.

Before and after: pytest tests/platform/test_restored_store.py -k not_answered (three hosts of one domain, no other call due): 3 of 3 runs failed with a bound of 4 s, 3 of 3 pass now.

Conclusion: a read waits 2 s at most, which bounds the time for one reader as well, and the first one after a record a random part of that, so that several readers end their reads one after another.

--- a/packages/dataplane/src/turmericrouter_dataplane/config_feed.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/config_feed.py
@@ -22,9 +22,10 @@
 from turmericrouter_dataplane.policy.log_era import LogPosition
 from turmericrouter_dataplane.policy.log_era import UNKNOWN_ERA
 
-# Longest wait of one read for a change. A connection that has gone silent is
-# noticed only after it.
-LONG_POLL_S = 5.0
+# Longest wait of one read for a change. A read that outlives a return of the
+# log, or whose connection has gone silent, ends only after it. A confirmed
+# change must be in force within two seconds.
+LONG_POLL_S = 2.0
 # How often a host that does not follow the log checks whether it must.
 _DUTY_CHECK_PERIOD_S = 0.25
 _INITIAL_PAUSE_S = 0.1
@@ -93,13 +94,14 @@
         """Follow the stream until the task is cancelled."""
         pause_s = _INITIAL_PAUSE_S
         position: LogPosition | None = None
+        wait_s = LONG_POLL_S
         while True:
             if self.version >= 0 and not self.is_reader():
                 position = None
                 await asyncio.sleep(_DUTY_CHECK_PERIOD_S)
                 continue
             try:
-                page = await self._read(position)
+                page = await self._read(position, wait_s)
             except HistoryLostError:
                 position = None
                 continue
@@ -115,6 +117,12 @@
             position = LogPosition(
                 page.next_offset, self._era.resolve(page.era)
             )
+            # Records end the reads of all readers at the same time. The next
+            # ones end one after another, so that one of them soon notices a
+            # return of the log.
+            wait_s = LONG_POLL_S
+            if page.records:
+                wait_s *= self._rng.random()
             self._apply_page(page)
 
     def handle_era_rise(self) -> None:
@@ -177,9 +185,11 @@
             current_era=self.document_era,
         )
 
-    async def _read(self, position: LogPosition | None) -> RecordPage:
+    async def _read(
+        self, position: LogPosition | None, wait_s: float
+    ) -> RecordPage:
         if position is not None and self._era.holds(position):
-            page = await self._poll(position)
+            page = await self._poll(position, wait_s)
             if self._era.resolve(page.era) != position.era:
                 raise HistoryLostError('the offset is of another era')
             return page
@@ -189,11 +199,11 @@
         self._era_risen.clear()
         return page
 
-    async def _poll(self, position: LogPosition) -> RecordPage:
+    async def _poll(self, position: LogPosition, wait_s: float) -> RecordPage:
         """Wait for records after a position, until the era rises."""
         read = asyncio.ensure_future(
             self._log_service.read(
-                Stream.CONFIGURATION, position.offset, LONG_POLL_S
+                Stream.CONFIGURATION, position.offset, wait_s
             )
         )
         era_risen = asyncio.ensure_future(self._era_risen.wait())
--- a/tests/dataplane/test_config_feed.py
+++ b/tests/dataplane/test_config_feed.py
@@ -8,6 +8,7 @@
 
 from turmericrouter_core.errors import LogServiceError
 from turmericrouter_dataplane.config_feed import ConfigFeed
+from turmericrouter_dataplane.config_feed import LONG_POLL_S
 from turmericrouter_dataplane.log_service import KeyedRecord
 from turmericrouter_dataplane.log_service import RecordPage
 from turmericrouter_dataplane.policy.log_era import LogEra
@@ -50,7 +51,9 @@
         return RecordPage((record,), self.version)
 
 
-def _make_feed(log_service: Any, era: LogEra | None = None) -> ConfigFeed:
+def _make_feed(
+    log_service: Any, era: LogEra | None = None, seed: int = 1
+) -> ConfigFeed:
     log: Any = _Log()
 
     def decode(document: bytes) -> Any:
@@ -62,7 +65,7 @@
         decode,
         lambda config: None,
         log,
-        random.Random(1),
+        random.Random(seed),
     )
 
 
@@ -274,3 +277,37 @@
     feed.offer(b'5', 'log', 1)
     feed.offer(document, 'peer', era)
     assert (feed.document == document) is is_applied
+
+
+class _QuietLog:
+    """Holds one configuration, and answers each read when its wait ends."""
+
+    def __init__(self) -> None:
+        self.waits_s: list[float] = []
+
+    async def read_newest(self, stream: object) -> RecordPage:
+        return RecordPage((KeyedRecord('config', b'1'),), 1)
+
+    async def read(
+        self, stream: object, start: int, wait_s: float
+    ) -> RecordPage:
+        self.waits_s.append(wait_s)
+        await asyncio.sleep(0.01)
+        return RecordPage((), start)
+
+
+def test_reads_of_several_readers_do_not_end_together() -> None:
+    """Guards against a return that all readers notice late.
+
+    The reads of all readers begin together, as a record ends them together.
+    The first that ends shows the return to all hosts.
+    """
+    first_waits_s = []
+    for seed in range(8):
+        log = _QuietLog()
+        asyncio.run(_run(_make_feed(log, seed=seed), 0.05))
+        first_wait_s, second_wait_s = log.waits_s[:2]
+        first_waits_s.append(first_wait_s)
+        assert second_wait_s == LONG_POLL_S
+    assert max(first_waits_s) <= LONG_POLL_S
+    assert min(first_waits_s) < LONG_POLL_S / 2 < max(first_waits_s)
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -17,12 +17,15 @@
 from platform_fleet import make_config
 from platform_fleet import run_fleet
 from turmericrouter_dataplane.config_feed import LONG_POLL_S
+from turmericrouter_dataplane.links import MAX_RECONNECT_S
 
 # A confirmed configuration is in force within this time.
 _APPLY_S = 4.0
 # Without the directory, a restarted daemon waits until its peers dial it.
 _APPLY_WITHOUT_DIRECTORY_S = 8.0
-_QUIET_AFTER_S = LONG_POLL_S + 1.0
+_QUIET_AFTER_S = LONG_POLL_S + 4.0
+# By then the peers of a host that is down wait for the longest time.
+_LONG_DOWN_S = 3 * MAX_RECONNECT_S
 _RISEN = 'log_era_risen'
 _HOSTS = 'keyed.turmeric-hosts'
 
@@ -66,6 +69,33 @@
     asyncio.run(work())
 
 
+def test_change_during_reads_that_are_not_answered_is_in_force(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against readers that wait at an offset of before the return.
+
+    Their reads outlive the return, and the log stays below their offset.
+    """
+
+    async def work() -> None:
+        services = ('design', 'works', 'design')
+        async with run_fleet(tmp_path, services) as fleet:
+            # By then no other call of a daemon is due for a while.
+            await asyncio.sleep(_QUIET_AFTER_S)
+            copy = fleet.store.copy()
+            # All reads begin again at once after this.
+            for _ in range(2):
+                fleet.store.put('keyed.op', 'foreign', b'value')
+            await asyncio.sleep(0.1)
+            fleet.store.restore(copy)
+            fleet.publish(make_config(version=2, routes=_renamed_routes()))
+            async with asyncio.timeout(_APPLY_S):
+                for host in fleet.hosts:
+                    await fleet.wait_for_status(host, '/renamed/1')
+
+    asyncio.run(work())
+
+
 def _stored_hosts(fleet: Fleet) -> dict[str, bytes]:
     return dict(fleet.store.records.get(_HOSTS, []))
 
@@ -229,7 +259,7 @@
     work = _restart_on_older_copy(
         tmp_path,
         apply_s=_APPLY_WITHOUT_DIRECTORY_S,
-        down_s=_QUIET_AFTER_S,
+        down_s=_LONG_DOWN_S,
         busy_topics=frozenset({_HOSTS}),
     )
     assert asyncio.run(work) <= {401, 503}
