Test readers and departures that are gone at the return

Cause: no test stopped the log readers at the moment of the return, and none restarted a daemon whose departed target the copy still lists as serving before that daemon could write its record again.

Ruled out: a fault in either. The hosts that remain take the reading over, and peers that remember the departure tell the restarted daemon before it serves.

Conclusion: both are sound; the tests keep them so.

--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -16,6 +16,7 @@
 from platform_fleet import Host
 from platform_fleet import make_config
 from platform_fleet import run_fleet
+from turmericrouter_core.rendezvous import rank_by_hash
 from turmericrouter_dataplane.config_feed import LONG_POLL_S
 from turmericrouter_dataplane.links import MAX_RECONNECT_S
 
@@ -154,6 +155,49 @@
     asyncio.run(work())
 
 
+def test_departure_that_the_copy_lacks_is_learned_from_peers(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a left target that a restarted daemon serves with.
+
+    The daemon is down at the return, so it cannot write its record again;
+    the copy has the record of before the departure.
+    """
+
+    async def work() -> None:
+        services = ('design', 'works', 'works')
+        async with run_fleet(tmp_path, services) as fleet:
+            entry, leaving = fleet.hosts[0], fleet.hosts[1]
+            await _until(lambda: len(_stored_hosts(fleet)) == 3)
+            await asyncio.sleep(0.5)
+            copy = fleet.store.copy()
+            leaving.upstream.stop_announcing()
+            await leaving.upstream.depart()
+            await _until(lambda: fleet.store.copy()[_HOSTS] > copy[_HOSTS])
+            await asyncio.sleep(0.3)
+            runs = len(leaving.upstream.runs)
+            leaving.send_signal(signal.SIGKILL)
+            await leaving.wait_for_exit()
+            _restore_noticed(fleet, copy)
+            leaving.launch()
+            async with asyncio.timeout(_APPLY_S):
+                while True:
+                    try:
+                        answer = await fleet.request(leaving, '/open/1')
+                        await fleet.request(entry, '/open/2')
+                        if answer[0] == 200:
+                            break
+                    except aiohttp.ClientError:
+                        pass
+                    await asyncio.sleep(0.002)
+            for number in range(50):
+                await fleet.request(entry, f'/open/{number}')
+                await fleet.request(leaving, f'/open/{number}')
+            assert len(leaving.upstream.runs) == runs
+
+    asyncio.run(work())
+
+
 def test_no_host_stays_unknown_after_the_return(
     tmp_path: pathlib.Path,
 ) -> None:
@@ -291,3 +335,34 @@
                     await fleet.wait_for_status(host, '/renamed/1')
 
     asyncio.run(work())
+
+
+def test_hosts_take_over_from_readers_that_end_with_the_return(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against hosts that wait for copies of readers that are gone.
+
+    The hosts that remain have not followed the log. They must learn of the
+    return, serve a change and write their records again.
+    """
+
+    async def work() -> None:
+        services = ('design', 'works', 'design', 'works')
+        async with run_fleet(tmp_path, services) as fleet:
+            await _until(lambda: len(_stored_hosts(fleet)) == 4)
+            await asyncio.sleep(_QUIET_AFTER_S)
+            names = [host.name for host in fleet.hosts]
+            readers = rank_by_hash('north', names)[:2]
+            remaining = [h for h in fleet.hosts if h.name not in readers]
+            copy = fleet.store.copy() | {_HOSTS: 0}
+            for host in fleet.hosts:
+                if host.name in readers:
+                    host.kill()
+            fleet.store.restore(copy)
+            fleet.publish(make_config(version=2, routes=_renamed_routes()))
+            async with asyncio.timeout(_APPLY_S):
+                for host in remaining:
+                    await fleet.wait_for_status(host, '/renamed/1')
+            await _until(lambda: len(_stored_hosts(fleet)) == 2)
+
+    asyncio.run(work())
