Count only peers that serve when a daemon starts

Cause: a daemon that has just started served as soon as a majority of its peers, or one of them 50 ms before, had told no newer version. Peers that start too have read the same log, so a failure domain that restarts on an older copy could ask nobody but itself, as links within the domain open before those to the others.

Ruled out: waiting for a link to every known peer. A host that is gone would delay each start by the time-out of a connection. Waiting the whole second for a peer that serves: it would add a second to a restart of the whole fleet.

Before and after: pytest tests/dataplane/test_start_check.py with the earlier decisions: "start_too_are_no_majority", "many_peers_that_start_too" and "dead_peer_delays" fail, as the host serves version 4 while a domain of version 7 has no link yet. All pass now. Not played with processes, as links on the loopback open alike.

Conclusion: statuses tell whether the daemon serves. Without a peer that does, a starting daemon waits for all peers, 0.3 s at most after the first answer.

--- a/packages/dataplane/src/turmericrouter_dataplane/application.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/application.py
@@ -191,6 +191,7 @@
             log=self._log,
         )
         self._members.on_peer_version = self._start_guard.record_version
+        self._members.is_serving = lambda: self._start_guard.may_serve
         self._announcements = Announcements(self._target_changed, self._log)
         self._members.on_target_left = self._restore_departure
         self._callers = HttpServer(self._dispatcher, self._record_bad_request)
--- a/packages/dataplane/src/turmericrouter_dataplane/frames.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/frames.py
@@ -69,6 +69,7 @@
         config_era: Newest era of the log that held the configuration in force;
             -1 if unknown.
         config_digest: Digest of the configuration in force; 0 if unknown.
+        is_serving: Whether the daemon serves callers; false while it starts.
     """
 
     host: HostRecord
@@ -82,6 +83,7 @@
     log_era: int = _UNKNOWN_ERA
     config_era: int = _UNKNOWN_ERA
     config_digest: int = _UNKNOWN_DIGEST
+    is_serving: bool = True
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag=11):
--- a/packages/dataplane/src/turmericrouter_dataplane/host_reports.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/host_reports.py
@@ -25,12 +25,15 @@
         self._config = config
         self._era_watch = era_watch
 
-    def status(self, record: HostRecord, *, is_leaving: bool) -> Status:
+    def status(
+        self, record: HostRecord, *, is_leaving: bool, is_serving: bool
+    ) -> Status:
         """Return the whole state of this host.
 
         Args:
             record: Record of this host.
             is_leaving: Whether the daemon is about to stop.
+            is_serving: Whether the daemon serves callers.
         """
         gate = self._gate
         config = self._config.identity
@@ -46,6 +49,7 @@
             self._era_watch.current,
             config.era,
             config.digest,
+            is_serving,
         )
 
     def heartbeat(self, *, is_watched: bool) -> Heartbeat:
--- a/packages/dataplane/src/turmericrouter_dataplane/members.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/members.py
@@ -101,8 +101,13 @@
         self.is_leaving = False
         # Called with the record of this host if its target has left.
         self.on_target_left: Callable[[HostRecord], None] = lambda record: None
-        # Called with the name of a peer and the version in force there.
-        self.on_peer_version: Callable[[str, int], None] = lambda *_: None
+        # Called with the name of a peer, its version of the configuration and
+        # whether it serves callers.
+        self.on_peer_version: Callable[[str, int, bool], None] = lambda *_: (
+            None
+        )
+        # Returns whether this host serves callers.
+        self.is_serving: Callable[[], bool] = lambda: True
         self.on_grant: Callable[[TokenGrant], None] = lambda grant: None
         self._handlers: dict[type, Callable[[Link, Any], None]] = {
             Dispatch: self._handle_dispatch,
@@ -453,6 +458,7 @@
         view.limit = status.limit
         view.protocol = status.protocol
         view.reads_log = status.reads_log
+        view.is_serving = status.is_serving
         self._update_load(view, status, now)
 
     def _handle_heartbeat(self, link: Link, heartbeat: Heartbeat) -> None:
@@ -483,7 +489,11 @@
             report.config_version, report.config_era, report.config_digest
         )
         self._sharing.record_config(view.record, config, now)
-        self.on_peer_version(host, report.config_version)
+        self.on_peer_version(host, report.config_version, view.is_serving)
 
     def _status(self) -> Status:
-        return self._reports.status(self._record, is_leaving=self.is_leaving)
+        return self._reports.status(
+            self._record,
+            is_leaving=self.is_leaving,
+            is_serving=self.is_serving(),
+        )
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/start_check.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/start_check.py
@@ -18,6 +18,9 @@
 # Further peers get this time after the first answer, as that one may have
 # started just before.
 _SETTLE_S = 0.05
+# The same if all peers that have answered are starting. They may have read the
+# same older configuration, and links to other failure domains open later.
+_STARTING_SETTLE_S = 0.3
 # In a large fleet the links open one by one; this many answers suffice.
 _MAX_ANSWERS = 16
 
@@ -27,12 +30,15 @@
 
     def __init__(self) -> None:
         self._versions: dict[str, int] = {}
+        # Peers that serve callers, and so have asked their peers before.
+        self._serving: set[str] = set()
         self._has_directory = False
         # Since when a configuration is known; infinite before that.
         self._config_since = math.inf
         # Since when both a configuration and the directory are known.
         self._peers_since = math.inf
         self._answered_at: float | None = None
+        self._serving_answered_at: float | None = None
         # When a version was first seen to be newer than the known one.
         self._outdated_since: float | None = None
         self._is_done = False
@@ -51,11 +57,25 @@
         """Record that the hosts in the log are known."""
         self._has_directory = True
 
-    def record_version(self, host: str, version: int, now: float) -> None:
-        """Record the version that a peer reports; -1 for none."""
+    def record_version(
+        self, host: str, version: int, now: float, *, is_serving: bool = True
+    ) -> None:
+        """Record the version that a peer reports.
+
+        Args:
+            host: Name of the peer.
+            version: Its version; -1 for none.
+            now: Monotonic seconds.
+            is_serving: Whether the peer serves callers. One that does not is
+                starting too, and may know an older configuration only.
+        """
         self._versions[host] = version
         if self._answered_at is None:
             self._answered_at = now
+        if is_serving:
+            self._serving.add(host)
+            if self._serving_answered_at is None:
+                self._serving_answered_at = now
 
     def update(
         self, version: int, peers: int, linked: Collection[str], now: float
@@ -88,12 +108,16 @@
             return now - self._outdated_since >= NEWER_VERSION_TIMEOUT_S
         if is_overdue:
             return True
-        answers = len(self._versions)
+        answers = len(self._serving)
         if answers < _MAX_ANSWERS and any(
             host not in self._versions for host in linked
         ):
             return False
-        return 2 * answers > peers or now - self._answered_at >= _SETTLE_S
+        if 2 * answers > peers or len(self._versions) >= peers:
+            return True
+        if self._serving_answered_at is None:
+            return now - self._answered_at >= _STARTING_SETTLE_S
+        return now - self._serving_answered_at >= _SETTLE_S
 
     def _is_overdue(self, now: float) -> bool:
         """Return whether the peers have had the time to answer."""
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/target_chooser.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/target_chooser.py
@@ -65,6 +65,7 @@
     is_leaving: bool = False
     protocol: int = 0
     reads_log: bool = True
+    is_serving: bool = True
     last_seen_at: float = -1e9
     added_at: float = -1e9
     running: int = 0
--- a/packages/dataplane/src/turmericrouter_dataplane/start_guard.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/start_guard.py
@@ -65,11 +65,21 @@
         """Record that the hosts in the log are known."""
         self._check.record_directory()
 
-    def record_version(self, host: str, version: int) -> None:
-        """Handle the version that a peer reports; -1 for none."""
+    def record_version(
+        self, host: str, version: int, is_serving: bool
+    ) -> None:
+        """Handle the version that a peer reports.
+
+        Args:
+            host: Name of the peer.
+            version: Its version; -1 for none.
+            is_serving: Whether the peer serves callers.
+        """
         if self._check.is_done:
             return
-        self._check.record_version(host, version, self._timers.now())
+        self._check.record_version(
+            host, version, self._timers.now(), is_serving=is_serving
+        )
         if version > self._config.version:
             # The first status went out before the peer had a link to send
             # its configuration on.
--- a/tests/dataplane/test_members.py
+++ b/tests/dataplane/test_members.py
@@ -385,3 +385,28 @@
         assert sum(map(len, senders.values())) < 3 * len(restarted)
 
     asyncio.run(work())
+
+
+def test_peer_tells_whether_it_serves() -> None:
+    """Guards against a start on the word of a peer that starts too."""
+
+    async def work() -> None:
+        feeds = {'own': _make_feed(b'5', 0), 'far': _make_feed(b'5', 0)}
+        (own, far), servers = await _start_linked(feeds)
+        reports: list[tuple[str, int, bool]] = []
+        own.on_peer_version = lambda *report: reports.append(report)
+        far.is_serving = lambda: False
+        await _until(lambda: reports)
+        assert set(reports) == {('far', 5, False)}
+        # A heartbeat does not tell it.
+        far.send_heartbeat()
+        far.is_serving = lambda: True
+        await _until(lambda: far.links_open)
+        far.broadcast_status()
+        await _until(lambda: ('far', 5, True) in reports)
+        for members in (own, far):
+            members.stop()
+        for server in servers:
+            server.stop()
+
+    asyncio.run(work())
--- a/tests/dataplane/test_start_check.py
+++ b/tests/dataplane/test_start_check.py
@@ -118,3 +118,55 @@
     almost = told_at + 0.9 * NEWER_VERSION_TIMEOUT_S
     assert not check.update(4, 1, ('a',), almost)
     assert check.update(4, 1, ('a',), told_at + NEWER_VERSION_TIMEOUT_S)
+
+
+def test_peers_that_start_too_are_no_majority() -> None:
+    """Guards against a domain that restarts and asks nobody but itself.
+
+    All of it has read the same older copy of the log. Links within it open
+    before those to the other domains.
+    """
+    check = StartCheck()
+    check.record_directory()
+    assert not check.update(4, 4, (), 0.0)
+    for host in ('a', 'b', 'c'):
+        check.record_version(host, 4, 0.0, is_serving=False)
+    assert not check.update(4, 4, ('a', 'b', 'c'), 0.0)
+    assert not check.update(4, 4, ('a', 'b', 'c', 'far'), 0.1)
+    check.record_version('far', 7, 0.2)
+    assert not check.update(4, 4, ('a', 'b', 'c', 'far'), 0.2)
+    assert check.update(7, 4, ('a', 'b', 'c', 'far'), 0.25)
+
+
+def test_many_peers_that_start_too_do_not_suffice() -> None:
+    """Guards against a large domain that asks nobody but itself."""
+    check = StartCheck()
+    check.record_directory()
+    assert not check.update(4, 40, (), 0.0)
+    linked = [f'near-{number}' for number in range(20)]
+    for host in linked:
+        check.record_version(host, 4, 0.0, is_serving=False)
+    assert not check.update(4, 40, [*linked, 'far'], 0.1)
+    check.record_version('far', 4, 0.1)
+    assert check.update(4, 40, [*linked, 'far'], 0.2)
+
+
+def test_fleet_that_starts_as_a_whole_serves_at_once() -> None:
+    """Guards against hosts that wait for one another."""
+    check = StartCheck()
+    check.record_directory()
+    assert not check.update(4, 2, (), 0.0)
+    check.record_version('a', 4, 0.0, is_serving=False)
+    check.record_version('b', -1, 0.0, is_serving=False)
+    assert check.update(4, 2, ('a', 'b'), 0.0)
+
+
+def test_dead_peer_delays_a_start_of_the_others_briefly() -> None:
+    """Guards against a restart that waits for a host that is gone."""
+    check = StartCheck()
+    check.record_directory()
+    assert not check.update(4, 3, (), 0.0)
+    check.record_version('a', 4, 0.0, is_serving=False)
+    check.record_version('b', 4, 0.0, is_serving=False)
+    assert not check.update(4, 3, ('a', 'b'), 0.1)
+    assert check.update(4, 3, ('a', 'b'), 0.5)
