--- a/packages/dataplane/src/turmericrouter_dataplane/host_reports.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/host_reports.py
@@ -25,17 +25,21 @@
         self._config = config
         self._era_watch = era_watch
 
-    def status(self, record: HostRecord, *, is_leaving: bool) -> Status:
+    def status(
+        self, record: HostRecord, *, is_leaving: bool, is_serving: bool
+    ) -> Status:
         """Return the whole state of this host.
 
         Args:
             record: Record of this host.
             is_leaving: Whether the daemon is about to stop.
+            is_serving: Whether the daemon serves callers.
         """
         gate = self._gate
+        config = self._config.identity
         return Status(
             record,
-            self._config.version,
+            config.version,
             gate.running,
             gate.waiting,
             gate.limit,
@@ -43,6 +47,9 @@
             PROTOCOL_REVISION,
             self._config.is_connected,
             self._era_watch.current,
+            config.era,
+            config.digest,
+            is_serving,
         )
 
     def heartbeat(self, *, is_watched: bool) -> Heartbeat:
@@ -52,10 +59,13 @@
             is_watched: Whether the receiver watches this host.
         """
         gate = self._gate
+        config = self._config.identity
         return Heartbeat(
-            self._config.version,
+            config.version,
             gate.running,
             gate.waiting,
             is_watched,
             self._era_watch.current,
+            config.era,
+            config.digest,
         )
--- a/tests/dataplane/test_start_guard.py
+++ b/tests/dataplane/test_start_guard.py
@@ -110,7 +110,7 @@
     def answer(self, version: int) -> None:
         """Let both peers report a version."""
         for host in self.members.linked:
-            self.guard.record_version(host, version)
+            self.guard.record_version(host, version, True)
 
 
 def test_configuration_is_held_back_until_peers_have_answered() -> None:
@@ -144,14 +144,14 @@
     """Guards against a peer that sends its version late, or to no end."""
     fixture = _Fixture()
     fixture.learn(4)
-    fixture.guard.record_version('a', 7)
-    fixture.guard.record_version('b', 4)
+    fixture.guard.record_version('a', 7, True)
+    fixture.guard.record_version('b', 4, True)
     assert fixture.members.statuses == ['a']
     fixture.learn(7)
-    fixture.guard.record_version('b', 7)
+    fixture.guard.record_version('b', 7, True)
     fixture.timers.advance(0.02)
     assert fixture.guard.may_serve
-    fixture.guard.record_version('b', 9)
+    fixture.guard.record_version('b', 9, True)
     assert fixture.members.statuses == ['a']
 
 
@@ -161,7 +161,7 @@
     first = fixture.learn(4)
     fixture.answer(4)
     fixture.timers.advance(0.02)
-    fixture.guard.record_version('a', 9)
+    fixture.guard.record_version('a', 9, True)
     second = fixture.learn(5)
     assert fixture.in_force == [first, second]
 
