Free the slot of a request that has no time left

Cause: a request that found an idle connection to the target kept its phase of waiting until it was sent. If it was then refused, since its time or the stop had ended, the gate counted its slot as used until the daemon restarted. One that expired up to a tick before a slot became free took that way too, or made the gate open a connection for nothing.

Ruled out: the stop itself hangs on no such slot; it waits for open requests, not for slots. Requests that were connecting gave their slot back before.

Before and after: tests/dataplane/test_gate.py failed on the code before with 'assert 3 == 0' (three requests of 1 ms left the three slots of the target in use with nothing running) and with 8 requests that were given connections after they had expired. Both pass now, five times of five.

Conclusion: a request holds its slot from when it starts, whatever follows, and the queue refuses those that have expired one after the other.

--- a/packages/dataplane/src/turmericrouter_dataplane/gate.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate.py
@@ -213,14 +213,15 @@
             self._refuse(job, Reason.SHED_AT_GATE)
 
     def _start(self, job: GateJob) -> None:
+        # From here on, the request has a slot, which its end frees.
         self._running += 1
+        job.phase = Phase.CONNECTING
         if job.wait_timer is not None:
             job.wait_timer.cancel()
         connection = self._connections.take(job.frame.is_idempotent)
         if connection is not None:
             self._run(job, connection)
             return
-        job.phase = Phase.CONNECTING
         asyncio.ensure_future(self._connect(job))
 
     async def _connect(self, job: GateJob) -> None:
@@ -263,15 +264,11 @@
         frame = job.frame
         target = self._target
         assert target is not None
-        if not self._may_send(job):
-            self._connections.give_back(connection)
-            self._refuse(job, Reason.DAEMON_STOPPING)
-            return
-        expires_at = self.stop_guard.limit(job.expires_at)
-        remaining_ms = int((expires_at - self._timers.now()) * 1000)
-        if remaining_ms <= 0:
+        remaining_ms = self._remaining_ms(job)
+        refusal = self._find_refusal(job, remaining_ms)
+        if refusal is not None:
             self._connections.give_back(connection)
-            self._refuse(job, Reason.DEADLINE_EXPIRED)
+            self._refuse(job, refusal)
             return
         names = self._names
         job.phase = Phase.RUNNING
@@ -444,17 +441,26 @@
             job = self._queue.pop()
             if job is None:
                 return
-            if self._may_send(job):
+            refusal = self._find_refusal(job, self._remaining_ms(job))
+            if refusal is None:
                 self._start(job)
             else:
-                self._refuse(job, Reason.DAEMON_STOPPING)
+                self._refuse(job, refusal)
+
+    def _remaining_ms(self, job: GateJob) -> int:
+        """Return the time limit that the target would get now."""
+        expires_at = self.stop_guard.limit(job.expires_at)
+        return int((expires_at - self._timers.now()) * 1000)
 
-    def _may_send(self, job: GateJob) -> bool:
-        return self.stop_guard.may_send(
+    def _find_refusal(self, job: GateJob, remaining_ms: int) -> Reason | None:
+        """Return why a request is not sent to the target, None if it is."""
+        if not self.stop_guard.may_send(
             self._timers.now(),
             expires_at=job.expires_at,
             service_time_s=_service_time_s(job),
-        )
+        ):
+            return Reason.DAEMON_STOPPING
+        return Reason.DEADLINE_EXPIRED if remaining_ms <= 0 else None
 
 
 def _service_time_s(job: GateJob) -> float:
--- a/tests/dataplane/test_gate.py
+++ b/tests/dataplane/test_gate.py
@@ -4,6 +4,8 @@
 import time
 
 from dataplane_values import NAMES
+from scripted_target import make_answer
+from scripted_target import ScriptedTarget
 from turmericrouter_core.verdict import Reason
 from turmericrouter_core.verdict import Verdict
 from turmericrouter_dataplane.decision_log import DecisionLog
@@ -23,6 +25,7 @@
     correlation: int = 1,
     *,
     request_id: bytes = b'',
+    remaining_ms: int = 2000,
     max_queue_wait_ms: int = 1000,
     is_idempotent: bool = True,
 ) -> Dispatch:
@@ -31,7 +34,7 @@
         '',
         1,
         is_idempotent,
-        2000,
+        remaining_ms,
         max_queue_wait_ms,
         _HEAD,
         b'',
@@ -340,3 +343,76 @@
         assert gate.is_idle
 
     asyncio.run(work())
+
+
+def test_request_without_time_left_frees_its_slot() -> None:
+    """Guards against a slot that is lost until the daemon restarts.
+
+    The request found an idle connection but had no time left for the target.
+    """
+
+    async def work() -> None:
+        async with ScriptedTarget(
+            lambda _, request_id: make_answer(200, request_id)
+        ) as target:
+            gate = make_gate()
+            address = Address('127.0.0.1', target.port)
+            gate.set_target(
+                LocalTarget('t-1', 'design', address, 4, TargetState.SERVING)
+            )
+            outcomes: list[Outcome] = []
+            gate.submit(make_dispatch(1), outcomes.append)
+            async with asyncio.timeout(5.0):
+                while not outcomes:
+                    await asyncio.sleep(0.01)
+            for correlation in range(2, 2 + gate.limit):
+                gate.submit(
+                    make_dispatch(correlation, remaining_ms=1), outcomes.append
+                )
+            running = gate.running
+            gate.stop()
+        assert [(o.verdict, o.reason) for o in outcomes[1:]] == [
+            (Verdict.NOT_RUN, Reason.DEADLINE_EXPIRED)
+        ] * gate.limit
+        assert running == 0
+        assert target.connection_count == 1
+
+    asyncio.run(work())
+
+
+def test_expired_request_gets_no_slot_that_becomes_free() -> None:
+    """Guards against connections that are opened for requests without time.
+
+    Waiting requests are refused up to a tick after their time.
+    """
+
+    async def work() -> None:
+        async with ScriptedTarget(lambda *_: b'') as target:
+            gate = make_gate()
+            address = Address('127.0.0.1', target.port)
+            gate.set_target(
+                LocalTarget('t-1', 'design', address, 1, TargetState.SERVING)
+            )
+            outcomes: list[Outcome] = []
+            first = gate.submit(make_dispatch(1), outcomes.append)
+            async with asyncio.timeout(5.0):
+                while not first.has_started:
+                    await asyncio.sleep(0.01)
+            waiting = [
+                gate.submit(
+                    make_dispatch(correlation, remaining_ms=1), outcomes.append
+                )
+                for correlation in range(2, 10)
+            ]
+            # Without a pause, in which their timers would refuse them.
+            while time.monotonic() < waiting[-1].expires_at:
+                continue
+            gate.cancel(first)
+            running = gate.running
+            gate.stop()
+        assert [(o.verdict, o.reason) for o in outcomes] == [
+            (Verdict.NOT_RUN, Reason.DEADLINE_EXPIRED)
+        ] * 8
+        assert running == 0
+
+    asyncio.run(work())
