Let peers read their outcomes before a stop closes the links

Cause: a stop waited until the outcomes of peers had left the process, and then closed the links. What was still in the buffers of the system was lost if the peer sent anything meanwhile, such as a probe or a heartbeat: the closed socket answered with a reset. The peer took the lost link for a request that may have run, and answered its caller with a 502 although the target had the answer.

Ruled out: the outcome itself; without the peer's probes the same test passed on the code before.

Conclusion: after the last outcomes, links end their stream in one direction, and the peers close them. A peer that does not is waited for at most 1 s once all is sent, and never beyond the time in which answers are sent.

--- a/packages/dataplane/src/turmericrouter_dataplane/application.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/application.py
@@ -341,7 +341,6 @@
         await self._drain.run(self._stop_reason, self._settings.stop_within_s)
         for task in self._tasks:
             task.cancel()
-        self._links.stop()
         self._members.stop()
         await asyncio.sleep(_LINK_CLOSE_S)
         self._gate.stop()
--- a/packages/dataplane/src/turmericrouter_dataplane/drain.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/drain.py
@@ -1,6 +1,7 @@
 """Planned stop of a daemon that cuts off no request."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Protocol
 
 from turmericrouter_dataplane.decision_log import DecisionLog
@@ -11,6 +12,9 @@
 from turmericrouter_dataplane.timers import TimerService
 
 _IDLE_CHECK_PERIOD_S = 0.05
+# Peers close a finished link as soon as they have read it. One that does not
+# is not waited for longer once everything has left the process.
+_LINK_CLOSE_TIMEOUT_S = 1.0
 
 
 class Peers(Protocol):
@@ -27,6 +31,13 @@
     def has_unsent_data(self) -> bool:
         """Return whether outcomes wait for the peers to read."""
 
+    @property
+    def has_open_links(self) -> bool:
+        """Return whether peers still have links to this host."""
+
+    def finish(self) -> None:
+        """Send nothing more, so that peers close their links."""
+
 
 class Drain:
     """Stops the request path in steps; see `run`.
@@ -70,8 +81,8 @@
         What is sent to a target meanwhile has a time limit within the stop,
         and what is too late for that is refused. All new requests are refused
         before the last ones have their answers; those that have none at the
-        end are told whether they may have run. Peers keep their links until
-        this returns.
+        end are told whether they may have run. Callers and peers then get
+        time to read that and to close their connections.
 
         Args:
             cause: Signal that stops the daemon, for the log.
@@ -89,10 +100,7 @@
         await self._sleep_until(times.notice_ends_at)
         for guard in guards:
             guard.end_notice()
-        while self._timers.now() < times.ends_at:
-            if self._is_idle:
-                break
-            await asyncio.sleep(_IDLE_CHECK_PERIOD_S)
+        await self._wait_while(lambda: not self._is_idle, times.ends_at)
         for guard in guards:
             guard.close()
         self._callers.stop_listening()
@@ -102,7 +110,12 @@
         self._callers.close_idle(0.0)
         await asyncio.sleep(times.linger_s)
         self._callers.refuse_unfinished()
-        await self._send_answers(times.sent_by)
+        await asyncio.gather(
+            self._wait_while(
+                lambda: self._callers.has_unread_answers, times.sent_by
+            ),
+            self._finish_links(times.sent_by),
+        )
         self._callers.close_idle(0.0)
         self._log.event(
             'stopped',
@@ -115,13 +128,19 @@
             oldest_gate_cut_s=peers_cut.oldest_s,
         )
 
-    async def _send_answers(self, until_s: float) -> None:
-        """Wait until callers and peers have read what was written."""
+    async def _finish_links(self, until_s: float) -> None:
+        """Wait until peers have read their outcomes and closed their links."""
+        self._links.finish()
+        await self._wait_while(lambda: self._links.has_unsent_data, until_s)
+        until_s = min(until_s, self._timers.now() + _LINK_CLOSE_TIMEOUT_S)
+        await self._wait_while(lambda: self._links.has_open_links, until_s)
+
+    async def _wait_while(
+        self, is_unfinished: Callable[[], bool], until_s: float
+    ) -> None:
         while self._timers.now() < until_s:
-            if not (
-                self._callers.has_unread_answers or self._links.has_unsent_data
-            ):
-                break
+            if not is_unfinished():
+                return
             await asyncio.sleep(_IDLE_CHECK_PERIOD_S)
 
     async def _sleep_until(self, time_s: float) -> None:
--- a/packages/dataplane/src/turmericrouter_dataplane/links.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/links.py
@@ -60,6 +60,7 @@
         self._last_correlation = 0
         self._last_received_at = 0.0
         self._probed_at = 0.0
+        self._is_finished = False
         self.peer = peer
         # Whether the link was closed because a probe was not answered.
         self.timed_out = False
@@ -143,16 +144,16 @@
             self.send(Cancel(correlation))
 
     def send(self, frame: Frame) -> None:
-        """Send a frame, or drop it if the link is closed."""
+        """Send a frame, or drop it if the link is closed or finished."""
         if self._transport is not None:
-            self._transport.write(encode_frame(frame))
+            self.send_encoded(encode_frame(frame))
 
     def send_encoded(self, data: bytes) -> None:
-        """Send an encoded frame, or drop it if the link is closed.
+        """Send an encoded frame, or drop it if the link is closed or finished.
 
         A frame that goes to several links is encoded once.
         """
-        if self._transport is not None:
+        if self._transport is not None and not self._is_finished:
             self._transport.write(data)
 
     def check(self, now: float) -> None:
@@ -172,6 +173,21 @@
             self._probed_at = now
             self.send(Probe(False))
 
+    def finish(self) -> None:
+        """Send nothing more; the peer closes the link once it has read all.
+
+        A socket that is closed before that is reset by the next frame of the
+        peer, which destroys what the peer has not received yet.
+        """
+        if self._transport is None or self._is_finished:
+            return
+        self._is_finished = True
+        try:
+            self._transport.write_eof()
+        except (OSError, RuntimeError):
+            # The peer is gone.
+            self._transport.close()
+
     def close(self) -> None:
         """Close after the buffered data has been sent."""
         if self._transport is not None:
@@ -313,16 +329,23 @@
         """Return whether outcomes wait for the peers to read."""
         return any(link.has_unsent_data for link in self._links)
 
+    @property
+    def has_open_links(self) -> bool:
+        """Return whether peers still have links to this host."""
+        return bool(self._links)
+
     async def start(self, ip: str, port: int) -> None:
         """Open the listener."""
         self._server = await asyncio.get_running_loop().create_server(
             self._make_link, ip, port, reuse_address=True
         )
 
-    def stop(self) -> None:
-        """Close the listener."""
+    def finish(self) -> None:
+        """Close the listener, and finish all links."""
         if self._server is not None:
             self._server.close()
+        for link in list(self._links):
+            link.finish()
 
     def _make_link(self) -> Link:
         link = Link(self._handler)
--- a/tests/dataplane/test_links.py
+++ b/tests/dataplane/test_links.py
@@ -84,7 +84,7 @@
         assert [o.correlation for o in outcomes] == [1, 2]
         assert all(o.verdict is Verdict.RAN for o in outcomes)
         pool.stop()
-        server.stop()
+        server.finish()
 
     asyncio.run(work())
 
@@ -133,7 +133,7 @@
         await link.closed
         outcome = await (await call(link))
         assert outcome.verdict is Verdict.NOT_RUN
-        server.stop()
+        server.finish()
 
     asyncio.run(work())
 
@@ -153,7 +153,7 @@
                 await asyncio.sleep(0.01)
         assert not future.done()
         pool.stop()
-        server.stop()
+        server.finish()
 
     asyncio.run(work())
 
@@ -211,6 +211,36 @@
             writer.close()
             while server._links:
                 await asyncio.sleep(0.01)
-        server.stop()
+        server.finish()
+
+    asyncio.run(work())
+
+
+def test_finished_link_is_closed_by_its_peer_after_the_outcome() -> None:
+    """Guards against a frame of the peer that resets a closed link."""
+
+    async def work() -> None:
+        server_side, peer_side = Recorder(), Recorder()
+        server = LinkServer(server_side)
+        await server.start('127.0.0.1', 0)
+        assert server._server is not None
+        port = server._server.sockets[0].getsockname()[1]
+        pool, link = await open_link(port, peer_side)
+        async with asyncio.timeout(5.0):
+            await server_side.opened.wait()
+            (far,) = server._links
+            future = await call(link)
+            while not server_side.frames:
+                await asyncio.sleep(0.01)
+            server.finish()
+            # It is dropped, since the stream has ended.
+            far.send(Probe(True))
+            link.send(Probe(False))
+            assert (await future).verdict is Verdict.RAN
+            await link.closed
+            while server.has_open_links:
+                await asyncio.sleep(0.01)
+            assert pool.get('peer') is None
+        pool.stop()
 
     asyncio.run(work())
--- a/tests/dataplane/test_members.py
+++ b/tests/dataplane/test_members.py
@@ -88,7 +88,7 @@
         await link.closed
         assert not view.is_linked
         members.stop()
-        server.stop()
+        server.finish()
 
     asyncio.run(work())
 
--- a/tests/platform/test_stop_slow_callers.py
+++ b/tests/platform/test_stop_slow_callers.py
@@ -1,6 +1,6 @@
 """A planned stop sends complete answers to callers that read slowly.
 
-Callers that send slowly are refused at its end.
+So it does for peers. Callers that send slowly are refused at its end.
 """
 
 import asyncio
@@ -15,6 +15,12 @@
 from platform_fleet import Host
 from platform_fleet import KEY
 from platform_fleet import run_fleet
+from turmericrouter_core.errors import ProtocolError
+from turmericrouter_dataplane.frames import Dispatch
+from turmericrouter_dataplane.frames import encode_frame
+from turmericrouter_dataplane.frames import FrameReader
+from turmericrouter_dataplane.frames import Outcome
+from turmericrouter_dataplane.frames import Probe
 
 # More than the buffers of the system take from a process.
 _BODY_BYTES = 8_000_000
@@ -25,6 +31,8 @@
 _END_OF_NOTICE_S = 2.6
 # Time from the last request that a daemon may not read to its exit.
 _END_S = 0.5
+# Less than the buffers of the system take from a process.
+_SMALL_BODY_BYTES = 400_000
 
 
 def _make_request(request_id: str) -> bytes:
@@ -35,14 +43,19 @@
     ).encode()
 
 
-async def _connect(host: Host) -> socket.socket:
-    """Connect with a small buffer, so that answers stay in the daemon."""
+async def _connect(host: Host, port: int = 0) -> socket.socket:
+    """Connect with a small buffer, so that answers stay in the daemon.
+
+    Args:
+        host: Host of the daemon.
+        port: Port of the daemon, 0 for that of the callers.
+    """
     caller = socket.socket()
     caller.setblocking(False)
     caller.setsockopt(
         socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
     )
-    address = ('127.0.0.1', host.port)
+    address = ('127.0.0.1', port or host.port)
     await asyncio.get_running_loop().sock_connect(caller, address)
     return caller
 
@@ -106,6 +119,61 @@
     _play(tmp_path, sends_more=True)
 
 
+async def _read_slowly(peer: socket.socket) -> Outcome | None:
+    """Read a first outcome in small parts, and send probes meanwhile.
+
+    Returns:
+        None if the link ends before.
+    """
+    loop = asyncio.get_running_loop()
+    frames = FrameReader()
+    with contextlib.suppress(ConnectionError, ProtocolError):
+        while data := await loop.sock_recv(peer, 20_000):
+            for frame in frames.feed(data):
+                if isinstance(frame, Outcome):
+                    return frame
+            await loop.sock_sendall(peer, encode_frame(Probe(False)))
+            await asyncio.sleep(0.02)
+    return None
+
+
+def test_stop_sends_the_whole_outcome_to_a_slow_peer(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a reset that cuts an outcome as the process ends.
+
+    It has left the daemon for the buffer of the system, and the peer sends
+    frames of its own.
+    """
+
+    async def scenario(fleet: Fleet) -> None:
+        entry = fleet.hosts[0]
+        entry.upstream.padding_bytes = _SMALL_BODY_BYTES
+        peer = await _connect(entry, entry.peers_port)
+        dispatch = Dispatch(
+            1, '', 1, False, 5000, 100,
+            b'GET /near/work-2800 HTTP/1.1\r\nHost: api.example\r\n'
+            b'X-Request-Id: far\r\n', b'', b'far', 0,
+        )  # fmt: skip
+        await asyncio.get_running_loop().sock_sendall(
+            peer, encode_frame(dispatch)
+        )
+        await asyncio.sleep(0.1)
+        entry.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(_GRACE_S):
+            outcome = await _read_slowly(peer)
+            peer.close()
+            assert await entry.wait_for_exit() == 0
+        assert outcome is not None, 'the link ended within the outcome'
+        assert outcome.body == b'answer to far' + bytes(_SMALL_BODY_BYTES)
+
+    async def work() -> None:
+        async with run_fleet(tmp_path) as fleet:
+            await scenario(fleet)
+
+    asyncio.run(work())
+
+
 def test_stop_ends_in_time_beside_a_caller_that_reads_nothing(
     tmp_path: pathlib.Path,
 ) -> None:
