Count only requests of peers as cut at the gate

Cause: a request that must not run twice stays at the gate after a stop has answered its caller, or after the caller has gone. The end of a stop counted it once more as 'gate_cut', as if it were one of a peer, while a comment claimed that the gate counts other requests only.

Ruled out: the answers; callers and peers get the same ones as before.

Before and after: tests/dataplane/test_dispatcher.py -k counted failed on the code before with 'assert (1, 1) == (1, 0)' and passes now. The line of a daemon in test_late_requests.py -k 'outlasts and near' had 'cut=1 gate_cut=1' for one request of a caller.

Conclusion: 'gate_cut' counts requests whose outcome somebody awaits.

--- a/packages/dataplane/src/turmericrouter_dataplane/drain.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/drain.py
@@ -104,7 +104,7 @@
         for guard in guards:
             guard.close()
         self._callers.stop_listening()
-        # Callers come first, so that the gate counts only other requests.
+        # Callers come first, so that the gate counts only those of peers.
         cut = self._dispatcher.answer_all()
         peers_cut = self._gate.answer_all()
         self._callers.close_idle(0.0)
--- a/packages/dataplane/src/turmericrouter_dataplane/gate.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate.py
@@ -164,9 +164,11 @@
         A peer sends those that only waited to another host.
 
         Returns:
-            The requests that were answered.
+            The requests that were answered, without those that run on after
+            their caller has disconnected or has been answered.
         """
         jobs = list(self._open)
+        answered = [job for job in jobs if job.reply is not _ignore]
         for job in self._queue.clear():
             self._refuse(job, Reason.DAEMON_STOPPING)
         for job in jobs:
@@ -180,7 +182,7 @@
             elif not job.is_done:
                 self._refuse(job, Reason.DAEMON_STOPPING)
         return CutRequests.of(
-            [job.received_at for job in jobs], self._timers.now()
+            [job.received_at for job in answered], self._timers.now()
         )
 
     def prune(self) -> None:
--- a/tests/dataplane/test_dispatcher.py
+++ b/tests/dataplane/test_dispatcher.py
@@ -190,3 +190,23 @@
         assert fixture.dispatcher.in_flight == 0
 
     play(scenario)
+
+
+def test_cut_request_of_a_caller_is_not_counted_as_one_of_a_peer() -> None:
+    """Guards against a log that blames peers for requests of callers.
+
+    A request that must not run twice stays at the gate after its answer.
+    """
+
+    async def scenario(fixture: _Fixture) -> None:
+        running = await fixture.send()
+        fixture.dispatcher.stop_guard.close()
+        fixture.gate.stop_guard.close()
+        cut = fixture.dispatcher.answer_all()
+        was_at_gate = not fixture.gate.is_idle
+        peers_cut = fixture.gate.answer_all()
+        assert (await running).startswith(b'HTTP/1.1 502 ')
+        assert was_at_gate and fixture.gate.is_idle
+        assert (cut.count, peers_cut.count) == (1, 0)
+
+    play(scenario)
