Confirm no announcement that peers cannot get any more

Cause: the control listener served until the process ended, 20 ms after its links had closed. An announcement of that time was confirmed, but no peer got it. A target that announced its leaving then was told that all know of it.

Ruled out: announcements before; they reach the peers with the last bytes of the links.

Conclusion: a stop ends announcements before it closes the links, and each one that it confirms is on its way to the peers.

--- a/packages/dataplane/src/turmericrouter_dataplane/application.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/application.py
@@ -338,7 +338,9 @@
         every(_SETTINGS_CHECK_PERIOD_S, self._check_settings, name='settings')
 
     async def _stop(self) -> None:
+        self._control.is_leaving = True
         await self._drain.run(self._stop_reason, self._settings.stop_within_s)
+        self._stop_announcements()
         for task in self._tasks:
             task.cancel()
         self._members.stop()
@@ -347,6 +349,12 @@
         self._timers.stop()
         self._log.flush()
 
+    def _stop_announcements(self) -> None:
+        """Confirm no announcement from now on; peers would not get it."""
+        self._control.stop_listening()
+        self._control.refuse_unfinished()
+        self._control.close_idle(0.0)
+
     async def _sync_directory(self) -> None:
         """Load the records of other hosts and store the record of this one."""
         while True:
