--- a/packages/dataplane/src/turmericrouter_dataplane/application.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/application.py
@@ -324,17 +324,24 @@
         )
 
     async def _stop(self) -> None:
+        self._control.is_leaving = True
         settings = self._settings_reload.settings
         await self._drain.run(self._stop_reason, settings.stop_within_s)
+        self._stop_announcements()
         for task in self._tasks:
             task.cancel()
-        self._links.stop()
         self._members.stop()
         await asyncio.sleep(_LINK_CLOSE_S)
         self._gate.stop()
         self._timers.stop()
         self._log.flush()
 
+    def _stop_announcements(self) -> None:
+        """Confirm no announcement from now on; peers would not get it."""
+        self._control.stop_listening()
+        self._control.refuse_unfinished()
+        self._control.close_idle(0.0)
+
     def _restore_target(self, record: HostRecord) -> None:
         """Restore the target from the host record stored before a restart."""
         target = target_of(record)
