--- a/tests/dataplane/test_gate.py
+++ b/tests/dataplane/test_gate.py
@@ -369,9 +369,12 @@
                 while not outcomes:
                     await asyncio.sleep(0.01)
             for correlation in range(2, 2 + gate.limit):
-                gate.submit(
-                    make_dispatch(correlation, remaining_ms=1), outcomes.append
+                frame = make_dispatch(
+                    correlation,
+                    request_id=b'%d' % correlation,
+                    remaining_ms=1,
                 )
+                gate.submit(frame, outcomes.append)
             running = gate.running
             gate.stop()
         assert [(o.verdict, o.reason) for o in outcomes[1:]] == [
--- a/tests/dataplane/test_links.py
+++ b/tests/dataplane/test_links.py
@@ -283,6 +283,6 @@
             server_links[1].send(Outcome(1, Verdict.RAN, Reason.SERVED, 200))
             assert (await second).verdict is Verdict.RAN
         pool.stop()
-        server.stop()
+        server.finish()
 
     asyncio.run(work())
