Excuse an early stop by the state of the daemon, not by a time

Cause: SIGTERM that arrives before the first line of platform/daemon.py has its default action. The soak allowed exit status -15 for 0.15 s after the start; on a busy processor the interpreter takes longer to start.

Ruled out: a daemon that has its handler and ends with -15 all the same.

Before and after: -15 was a failure from 0.15 s on, handler or not, and allowed before, handler or not.

--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -7,6 +7,7 @@
 import os
 import pathlib
 import random
+import re
 import signal
 import socket
 import subprocess
@@ -79,6 +80,20 @@
     } | changes
 
 
+def runs_daemon_code(pid: int) -> bool:
+    """Return whether a daemon has got past the start of its interpreter.
+
+    The daemon installs its signal handlers first and then loads libraries, so
+    either shows it, also if a handler were missing or removed later.
+    """
+    process = pathlib.Path('/proc') / str(pid)
+    status = (process / 'status').read_text()
+    match = re.search(r'^SigCgt:\s*([0-9a-f]+)$', status, re.MULTILINE)
+    assert match is not None
+    handles_stop = int(match[1], 16) >> (signal.SIGTERM - 1) & 1
+    return bool(handles_stop) or '-packages/' in (process / 'maps').read_text()
+
+
 class Host:
     """A host with a daemon and an upstream beside it.
 
--- a/tests/platform/soak_faults.py
+++ b/tests/platform/soak_faults.py
@@ -15,6 +15,7 @@
 from fault_proxy import FaultProxy
 from platform_fleet import Fleet
 from platform_fleet import Host
+from platform_fleet import runs_daemon_code
 from soak_checks import Span
 from standin_store import Fault
 
@@ -22,9 +23,6 @@
 _MIN_GAP_S = 0.3
 _MAX_GAP_S = 2.5
 _DRAIN_S = 2.0
-# Time in which the interpreter starts. Until then signals have their default
-# action, which the daemon can't change.
-_INTERPRETER_START_S = 0.15
 
 
 @dataclasses.dataclass
@@ -119,9 +117,6 @@
         starts = self.record.starts.setdefault(host.name, [])
         starts.append(time.monotonic())
 
-    def _started_at(self, host: Host) -> float:
-        return self.record.starts[host.name][-1]
-
     async def _apply(self, name: str) -> None:
         try:
             await self.faults[name]()
@@ -184,12 +179,15 @@
             begin = time.monotonic()
             self.record.stops.append((host.name, Span(begin, float('inf'))))
             position = len(self.record.stops) - 1
+            # Before the daemon's first line the signal has its default
+            # action, which the daemon can't change.
+            may_end_by_signal = not runs_daemon_code(host.process.pid)
             host.send_signal(signal.SIGTERM)
             status = await host.wait_for_exit()
             end = time.monotonic()
             self.record.stops[position] = (host.name, Span(begin, end))
-            if begin - self._started_at(host) < _INTERPRETER_START_S:
-                status = 0 if status == -signal.SIGTERM else status
+            if may_end_by_signal and status == -signal.SIGTERM:
+                status = 0
             if status != 0 or end - begin > STOP_GRACE_S:
                 self.record.problems.append(
                     f'{host.name} ended with {status} after {end - begin:.1f}'
--- a/tests/platform/test_platform_soak.py
+++ b/tests/platform/test_platform_soak.py
@@ -15,7 +15,9 @@
 REGRESSIONS: tuple[tuple[int, tuple[str, ...]], ...] = (
     # SIGHUP ended a daemon during its imports.
     (103, ('hup', 'kill', 'stop')),
-    # SIGTERM ended a daemon with a status other than 0.
+    # SIGTERM ended a daemon with a status other than 0: first during its
+    # imports, later before its first line on a busy machine, where the check
+    # allowed that for a fixed time only.
     (109, ('kill_all', 'stop', 'kill')),
 )
 
