Send no SIGHUP before the first line of a daemon

Cause: the soak sent SIGHUP to a daemon that had just been started. Before the first line of platform/daemon.py its default action ends the process, which the daemon can't change; the next planned stop found the daemon gone.

Ruled out: SIGHUP after the first line.

The fault now waits for the first line and signals then, so it covers the imports as before.

Conclusion: a daemon that ends by SIGHUP after its first line still fails the soak. A process that has ended by itself counts as past its start, so that its stop can't be excused and the wait ends.

--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -80,18 +80,23 @@
     } | changes
 
 
-def runs_daemon_code(pid: int) -> bool:
+def is_past_start(process: subprocess.Popen[bytes]) -> bool:
     """Return whether a daemon has got past the start of its interpreter.
 
     The daemon installs its signal handlers first and then loads libraries, so
-    either shows it, also if a handler were missing or removed later.
+    either shows it, also if a handler were missing or removed later. A process
+    that has ended counts as past its start.
     """
-    process = pathlib.Path('/proc') / str(pid)
-    status = (process / 'status').read_text()
+    if process.poll() is not None:
+        return True
+    folder = pathlib.Path('/proc') / str(process.pid)
+    status = (folder / 'status').read_text()
     match = re.search(r'^SigCgt:\s*([0-9a-f]+)$', status, re.MULTILINE)
     assert match is not None
-    handles_stop = int(match[1], 16) >> (signal.SIGTERM - 1) & 1
-    return bool(handles_stop) or '-packages/' in (process / 'maps').read_text()
+    caught = int(match[1], 16)
+    handles_stop = bool(caught >> (signal.SIGTERM - 1) & 1)
+    has_libraries = '-packages/' in (folder / 'maps').read_text()
+    return handles_stop or has_libraries
 
 
 class Host:
--- a/tests/platform/soak_faults.py
+++ b/tests/platform/soak_faults.py
@@ -15,7 +15,7 @@
 from fault_proxy import FaultProxy
 from platform_fleet import Fleet
 from platform_fleet import Host
-from platform_fleet import runs_daemon_code
+from platform_fleet import is_past_start
 from soak_checks import Span
 from standin_store import Fault
 
@@ -181,7 +181,7 @@
             position = len(self.record.stops) - 1
             # Before the daemon's first line the signal has its default
             # action, which the daemon can't change.
-            may_end_by_signal = not runs_daemon_code(host.process.pid)
+            may_end_by_signal = not is_past_start(host.process)
             host.send_signal(signal.SIGTERM)
             status = await host.wait_for_exit()
             end = time.monotonic()
@@ -205,8 +205,13 @@
 
     async def _hup(self) -> None:
         with self._take_host() as host:
-            if host is not None:
-                host.send_signal(signal.SIGHUP)
+            if host is None or host.process is None:
+                return
+            # Before the daemon's first line the signal ends the process by
+            # its default action, which the daemon can't change.
+            while not is_past_start(host.process):
+                await asyncio.sleep(0.001)
+            host.send_signal(signal.SIGHUP)
 
     async def _reset_links(self) -> None:
         with self._take_host() as host, self._record_unplanned():
--- a/tests/platform/test_platform_soak.py
+++ b/tests/platform/test_platform_soak.py
@@ -19,6 +19,8 @@
     # imports, later before its first line on a busy machine, where the check
     # allowed that for a fixed time only.
     (109, ('kill_all', 'stop', 'kill')),
+    # SIGHUP ended a daemon before its first line.
+    (313, ('kill', 'stop', 'hup')),
 )
 
 
--- a/tests/platform/test_start_signals.py
+++ b/tests/platform/test_start_signals.py
@@ -6,8 +6,8 @@
 
 import pytest
 
+from platform_fleet import is_past_start
 from platform_fleet import ROOT
-from platform_fleet import runs_daemon_code
 
 # Runs the daemon until its first import beyond the standard library, and
 # prints whether both handlers are installed then.
@@ -42,7 +42,7 @@
 
 
 @pytest.mark.parametrize(
-    ('code', 'is_past_start'),
+    ('code', 'expected'),
     [
         ('', False),
         ('import signal; signal.signal(signal.SIGTERM, print)', True),
@@ -50,7 +50,7 @@
     ],
 )
 def test_start_of_the_interpreter_is_told_from_the_daemon(
-    code: str, is_past_start: bool, tmp_path: pathlib.Path
+    code: str, expected: bool, tmp_path: pathlib.Path
 ) -> None:
     """Guards against a soak that excuses a daemon without a handler."""
     with subprocess.Popen(
@@ -61,6 +61,6 @@
         try:
             assert process.stdout is not None
             assert process.stdout.readline() == b'up\n'
-            assert runs_daemon_code(process.pid) is is_past_start
+            assert is_past_start(process) is expected
         finally:
             process.kill()
