--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -7,6 +7,7 @@
 import os
 import pathlib
 import random
+import re
 import signal
 import socket
 import subprocess
@@ -21,6 +22,7 @@
 
 ROOT = pathlib.Path(__file__).parents[2]
 KEY = 'key-of-east'
+OPERATOR_TOPIC = 'keyed.op'
 _START_TIMEOUT_S = 20.0
 _PORTS_PER_HOST = 10
 # First port of each host of this process. The ports are unbound while a daemon
@@ -79,6 +81,25 @@
     } | changes
 
 
+def is_past_start(process: subprocess.Popen[bytes]) -> bool:
+    """Return whether a daemon has got past the start of its interpreter.
+
+    The daemon installs its signal handlers first and then loads libraries, so
+    either shows it, also if a handler were missing or removed later. A process
+    that has ended counts as past its start.
+    """
+    if process.poll() is not None:
+        return True
+    folder = pathlib.Path('/proc') / str(process.pid)
+    status = (folder / 'status').read_text()
+    match = re.search(r'^SigCgt:\s*([0-9a-f]+)$', status, re.MULTILINE)
+    assert match is not None
+    caught = int(match[1], 16)
+    handles_stop = bool(caught >> (signal.SIGTERM - 1) & 1)
+    has_libraries = '-packages/' in (folder / 'maps').read_text()
+    return handles_stop or has_libraries
+
+
 class Host:
     """A host with a daemon and an upstream beside it.
 
@@ -143,6 +164,7 @@
                     '[turmericrouter]\nadvertise = '
                     f'"127.0.0.1:{self.peer_proxy_port}"\n'
                 )
+        self.upstream.host = name
         self.upstream.nested_port = self.port
 
     def launch(self) -> None:
@@ -197,7 +219,7 @@
     def publish(self, document: dict[str, Any]) -> None:
         """Publish a configuration."""
         body = json.dumps(document).encode()
-        self.store.put('keyed.op', 'config', body)
+        self.store.put(OPERATOR_TOPIC, 'config', body)
 
     async def request(
         self,
--- a/tests/platform/soak_faults.py
+++ b/tests/platform/soak_faults.py
@@ -15,6 +15,8 @@
 from fault_proxy import FaultProxy
 from platform_fleet import Fleet
 from platform_fleet import Host
+from platform_fleet import is_past_start
+from platform_fleet import OPERATOR_TOPIC
 from soak_checks import Span
 from standin_store import Fault
 
@@ -22,9 +24,9 @@
 _MIN_GAP_S = 0.3
 _MAX_GAP_S = 2.5
 _DRAIN_S = 2.0
-# Time in which the interpreter starts. Until then signals have their default
-# action, which the daemon can't change.
-_INTERPRETER_START_S = 0.15
+# Time after a return of the store without a new version, in which a version
+# that a host has skipped is found.
+_SETTLE_S = 4.0
 
 
 @dataclasses.dataclass
@@ -56,6 +58,8 @@
         peer_proxies: Proxy in front of each host's peer listener.
         store_proxies: Proxy between each host and the store.
         cuts: Pairs of failure domains that are cut; read by the proxies.
+        send_until_exit: Sends requests to a host until its daemon has ended.
+        publish: Publishes the next version of the configuration.
         rng: Source of faults, hosts and times.
     """
 
@@ -65,21 +69,29 @@
         peer_proxies: dict[str, FaultProxy],
         store_proxies: dict[str, FaultProxy],
         cuts: set[frozenset[str]],
+        send_until_exit: Callable[[Host], Awaitable[None]],
+        publish: Callable[[], None],
         rng: random.Random,
     ) -> None:
         self._fleet = fleet
         self._peer_proxies = peer_proxies
         self._store_proxies = store_proxies
         self._cuts = cuts
+        self._send_until_exit = send_until_exit
+        self._publish = publish
         self._rng = rng
         self._faulty: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._next_upstream = 0
+        self._is_restoring = False
+        # Whether hosts may not know yet what the store lost and regained.
+        self.is_store_settling = False
         self.record = FaultRecord()
         self.faults: dict[str, Callable[[], Awaitable[None]]] = {
             'kill': self._kill,
             'kill_all': self._kill_all,
             'stop': self._stop,
+            'stop_under_load': self._stop_under_load,
             'pause': self._pause,
             'hup': self._hup,
             'reset_links': self._reset_links,
@@ -88,6 +100,7 @@
             'cut_domains': self._cut_domains,
             'cut_store': self._cut_store,
             'break_store': self._break_store,
+            'restore_store': self._restore_store,
             'compact_store': self._compact_store,
             'crash_upstream': self._crash_upstream,
             'slow_upstream': self._slow_upstream,
@@ -119,9 +132,6 @@
         starts = self.record.starts.setdefault(host.name, [])
         starts.append(time.monotonic())
 
-    def _started_at(self, host: Host) -> float:
-        return self.record.starts[host.name][-1]
-
     async def _apply(self, name: str) -> None:
         try:
             await self.faults[name]()
@@ -179,24 +189,41 @@
 
     async def _stop(self) -> None:
         with self._take_host() as host:
-            if host is None or host.process is None:
+            if host is not None:
+                await self._stop_daemon(host)
+                await self._sleep_random(0.1, 1.0)
+                self.launch(host)
+
+    async def _stop_under_load(self) -> None:
+        """Stop a daemon whose callers go on until the process has ended."""
+        with self._take_host() as host:
+            if host is None:
                 return
-            begin = time.monotonic()
-            self.record.stops.append((host.name, Span(begin, float('inf'))))
-            position = len(self.record.stops) - 1
-            host.send_signal(signal.SIGTERM)
-            status = await host.wait_for_exit()
-            end = time.monotonic()
-            self.record.stops[position] = (host.name, Span(begin, end))
-            if begin - self._started_at(host) < _INTERPRETER_START_S:
-                status = 0 if status == -signal.SIGTERM else status
-            if status != 0 or end - begin > STOP_GRACE_S:
-                self.record.problems.append(
-                    f'{host.name} ended with {status} after {end - begin:.1f}'
-                )
-            await self._sleep_random(0.1, 1.0)
+            load = asyncio.ensure_future(self._send_until_exit(host))
+            await self._sleep_random(0.2, 3.0)
+            await self._stop_daemon(host)
+            await load
             self.launch(host)
 
+    async def _stop_daemon(self, host: Host) -> None:
+        assert host.process is not None
+        # Before the daemon's first line the signal has its default action,
+        # which the daemon can't change.
+        may_end_by_signal = not is_past_start(host.process)
+        begin = time.monotonic()
+        self.record.stops.append((host.name, Span(begin, float('inf'))))
+        position = len(self.record.stops) - 1
+        host.send_signal(signal.SIGTERM)
+        status = await host.wait_for_exit()
+        end = time.monotonic()
+        self.record.stops[position] = (host.name, Span(begin, end))
+        if may_end_by_signal and status == -signal.SIGTERM:
+            status = 0
+        if status != 0 or end - begin > STOP_GRACE_S:
+            self.record.problems.append(
+                f'{host.name} ended with {status} after {end - begin:.1f}'
+            )
+
     async def _pause(self) -> None:
         with self._take_host() as host, self._record_unplanned():
             if host is None:
@@ -207,8 +234,13 @@
 
     async def _hup(self) -> None:
         with self._take_host() as host:
-            if host is not None:
-                host.send_signal(signal.SIGHUP)
+            if host is None or host.process is None:
+                return
+            # Before the daemon's first line the signal ends the process by
+            # its default action, which the daemon can't change.
+            while not is_past_start(host.process):
+                await asyncio.sleep(0.001)
+            host.send_signal(signal.SIGHUP)
 
     async def _reset_links(self) -> None:
         with self._take_host() as host, self._record_unplanned():
@@ -264,6 +296,38 @@
             await self._sleep_random(1.0, 8.0)
             store.fault = Fault.NONE
 
+    async def _restore_store(self) -> None:
+        """Return to a copy; the operator writes its lost records again."""
+        store = self._fleet.store
+        if self._is_restoring:
+            return
+        self._is_restoring = True
+        copy = store.copy()
+        end = copy[OPERATOR_TOPIC]
+        await self._sleep_random(2.0, 5.0)
+        while store.fault is not Fault.NONE:
+            await asyncio.sleep(0.1)
+        self.is_store_settling = True
+        with self._record_unplanned():
+            store.fault = Fault.RESET
+            if self._rng.random() < 0.5:
+                for proxy in self._store_proxies.values():
+                    proxy.reset()
+            await self._sleep_random(0.1, 1.5)
+            lost = store.records[OPERATOR_TOPIC][end:]
+            store.restore(copy)
+            store.fault = Fault.NONE
+            if self._rng.random() < 0.5:
+                # Takes the offsets of lost records.
+                self._publish()
+            await self._sleep_random(0.1, 3.0)
+            replaced = {key for key, _ in store.records[OPERATOR_TOPIC][end:]}
+            for key, value in lost:
+                if key not in replaced:
+                    store.put(OPERATOR_TOPIC, key, value)
+        await asyncio.sleep(_SETTLE_S)
+        self.is_store_settling = self._is_restoring = False
+
     async def _compact_store(self) -> None:
         for topic in list(self._fleet.store.records):
             self._fleet.store.compact(topic)
