Send no call on a link that is closing

Cause: a link closes once its peer has ended the stream, but has a transport until its unsent data is written. A call of that time was accepted, and ended as 'link-lost', which may have run. Its outcome could not come, as the peer had ended its stream; a stop does so since its links are finished.

Ruled out: calls sent before that; the peer may have run them. The server side of a link, which sends no calls.

Conclusion: such a call has not run, so that it can go to another host even if it must not run twice.

--- a/packages/dataplane/src/turmericrouter_dataplane/links.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/links.py
@@ -70,8 +70,9 @@
 
     @property
     def is_open(self) -> bool:
-        """Return whether frames can be sent."""
-        return self._transport is not None
+        """Return whether the peer still gets frames, and may answer them."""
+        transport = self._transport
+        return transport is not None and not transport.is_closing()
 
     @property
     def has_unsent_data(self) -> bool:
@@ -126,7 +127,8 @@
 
     def dispatch(self, frame: Dispatch, callback: OutcomeCallback) -> None:
         """Send a request, and pass its outcome to the callback."""
-        if self._transport is None:
+        transport = self._transport
+        if transport is None or transport.is_closing():
             callback(
                 Outcome(
                     frame.correlation, Verdict.NOT_RUN, Reason.LINK_NOT_SENT
@@ -136,7 +138,7 @@
         if not self._pending:
             self._last_received_at = time.monotonic()
         self._pending[frame.correlation] = callback
-        self._transport.write(encode_frame(frame))
+        transport.write(encode_frame(frame))
 
     def cancel(self, correlation: int) -> None:
         """Cancel a call; its callback is not called."""
--- a/tests/dataplane/test_links.py
+++ b/tests/dataplane/test_links.py
@@ -3,6 +3,8 @@
 import asyncio
 import time
 
+import msgspec
+
 from turmericrouter_core.verdict import Reason
 from turmericrouter_core.verdict import Verdict
 from turmericrouter_dataplane.frames import Cancel
@@ -138,6 +140,53 @@
     asyncio.run(work())
 
 
+def test_call_on_a_closing_link_has_not_run() -> None:
+    """Guards against a 502 for a request that was never sent.
+
+    The peer has ended its stream and has not read all, so that the link
+    closes for a while. Nothing could answer a call that is sent meanwhile.
+    """
+
+    async def work() -> None:
+        is_over = asyncio.Event()
+
+        async def finish(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            # The reader stops at its limit and leaves the rest unread.
+            await reader.read(1)
+            writer.write_eof()
+            await is_over.wait()
+            writer.transport.abort()
+
+        server = await asyncio.start_server(finish, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        pool, link = await open_link(port, Recorder())
+        sent: asyncio.Future[Outcome] = (
+            asyncio.get_running_loop().create_future()
+        )
+        large = msgspec.structs.replace(
+            make_dispatch(link.next_correlation()), body=bytes(16_000_000)
+        )
+        async with asyncio.timeout(5.0):
+            link.dispatch(large, sent.set_result)
+            transport = link._transport
+            assert transport is not None
+            while not transport.is_closing():
+                await asyncio.sleep(0.01)
+            assert link.has_unsent_data
+            is_offered = pool.get('peer') is not None
+            late = await call(link)
+            is_over.set()
+            assert (await sent).verdict is Verdict.MAY_HAVE_RUN
+            assert (await late).verdict is Verdict.NOT_RUN
+            assert not is_offered
+        pool.stop()
+        server.close()
+
+    asyncio.run(work())
+
+
 def test_cancelled_call_notifies_the_peer_and_gets_no_outcome() -> None:
     async def work() -> None:
         server_side = Recorder(answers=False)
