Keep connections in use after a failed connect

A connect that fails, as with a full backlog, closes them too, so that a busy target that still answers got a new connection for each request in flight.

Ruled out: a change of the target, and a 421, by which another target has the address; both still end all connections. A target that has died; its connections break.

Before and after: pytest tests/dataplane/test_gate.py -k failed_connect failed with '3 == 2' connections, as one of two in use was closed; it passes now, and so do test_gate, test_late_answers and test_cut_answers. The load on a target whose backlog is full was not measured.

Conclusion: a failed connect closes idle connections only, as it did before.

--- a/packages/dataplane/src/turmericrouter_dataplane/gate.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate.py
@@ -114,7 +114,7 @@
         self._limit = max(1, int(target.slots * _LIMIT_FRACTION))
         self._queue.capacity = max(8, self._limit)
         if before is not None and before.target_id != target.target_id:
-            self._connections.close_idle()
+            self._connections.close_after_use()
         if target.state is not TargetState.SERVING:
             for job in self._queue.clear():
                 self._refuse(job, Reason.TARGET_LEAVING)
@@ -254,6 +254,7 @@
     ) -> None:
         if self._target is target and self._is_reachable:
             self._is_reachable = False
+            # Those in use show by their answers whether the target lives.
             self._connections.close_idle()
             self._log.event(
                 'target_unreachable',
@@ -332,6 +333,8 @@
         if result.status == 421 and result.is_attributed:
             # Another target uses the address; the announced one is gone or
             # will send a new announcement.
+            if self._target is target:
+                self._connections.close_after_use()
             self._target_unreachable(target, 'another target answered')
         self._classify(job, result)
 
--- a/packages/dataplane/src/turmericrouter_dataplane/target_connections.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/target_connections.py
@@ -111,6 +111,12 @@
             self._idle.pop(0).close()
 
     def close_idle(self) -> None:
+        """Close all idle connections."""
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            connection.close()
+
+    def close_after_use(self) -> None:
         """Close all connections, those in use after their answer.
 
         Another target may have the address of those that are opened now.
@@ -118,9 +124,7 @@
         self._generation += 1
         for connection in self._all:
             connection.end_reuse()
-        idle, self._idle = self._idle, []
-        for connection in idle:
-            connection.close()
+        self.close_idle()
 
     def stop(self) -> None:
         """Abort all connections, idle or in use."""
--- a/tests/dataplane/test_gate.py
+++ b/tests/dataplane/test_gate.py
@@ -2,12 +2,17 @@
 
 import asyncio
 import time
+from typing import Any
+from unittest import mock
+
+import msgspec
 
 from dataplane_values import NAMES
 from scripted_target import make_answer
 from scripted_target import ScriptedTarget
 from turmericrouter_core.verdict import Reason
 from turmericrouter_core.verdict import Verdict
+from turmericrouter_dataplane import http_client
 from turmericrouter_dataplane.decision_log import DecisionLog
 from turmericrouter_dataplane.frames import Dispatch
 from turmericrouter_dataplane.frames import Outcome
@@ -422,3 +427,62 @@
         assert running == 0
 
     asyncio.run(work())
+
+
+def test_failed_connect_leaves_other_connections_in_use() -> None:
+    """Guards against a busy target that gets a connection for each request.
+
+    One of three connections that open together fails, as with a full backlog.
+    The connections that were closed for it opened together again.
+    """
+
+    async def work() -> None:
+        connect = http_client.connect
+        attempts = 0
+
+        async def fail_second(
+            *args: Any, **options: Any
+        ) -> http_client.HttpClientConnection:
+            nonlocal attempts
+            attempts += 1
+            if attempts == 2:
+                raise TimeoutError
+            return await connect(*args, **options)
+
+        outcomes: list[Outcome] = []
+
+        async def run(gate: Gate, *request_ids: bytes) -> set[Reason]:
+            outcomes.clear()
+            for number, request_id in enumerate(request_ids, 1):
+                frame = msgspec.structs.replace(
+                    make_dispatch(number, request_id=request_id),
+                    head=_HEAD
+                    + b'%b: %b\r\n' % (NAMES.request_id, request_id),
+                )
+                gate.submit(frame, outcomes.append)
+            async with asyncio.timeout(5.0):
+                while len(outcomes) < len(request_ids):
+                    await asyncio.sleep(0.005)
+            return {outcome.reason for outcome in outcomes}
+
+        def script(number: int, request_id: bytes) -> bytes:
+            return make_answer(200, request_id)
+
+        async with ScriptedTarget(script) as target:
+            gate = make_gate()
+            address = Address('127.0.0.1', target.port)
+            serving = LocalTarget(
+                't-1', 'design', address, 8, TargetState.SERVING
+            )
+            gate.set_target(serving)
+            with mock.patch.object(http_client, 'connect', fail_second):
+                first = await run(gate, b'a', b'b', b'c')
+            # A new announcement makes the target reachable at once.
+            gate.set_target(serving)
+            second = await run(gate, b'd', b'e')
+            gate.stop()
+        assert first == {Reason.SERVED, Reason.TARGET_UNREACHABLE}
+        assert second == {Reason.SERVED}
+        assert target.connection_count == 2
+
+    asyncio.run(work())
