Accept answers of proxies that name their address

Cause: a header counted as the start of a second answer as soon as three digits followed the protocol. A proxy may name itself so: an answer with "Via: HTTP/1.1 192.0.2.7:80" was invalid, and its caller got 502 each time.

Ruled out: proxies with a name or without the protocol; they were accepted. Dropping the check of header values, which would join cut answers again. A value that is followed by the next one without a gap; the values of headers that are not forwarded are now separate, while parts of a phrase stay joined.

Before and after: pytest tests/dataplane/test_cut_answers.py tests/daemon/test_target_connection.py: the case with an address and the one of the earlier daemon failed, all pass now. Without the separation, test_second_head_without_a_phrase_is_noticed[Keep-Alive] fails.

Conclusion: a status ends with a space or its line, as in a status line.

--- a/packages/daemon/src/turmericrouter_daemon/target_connection.py
+++ b/packages/daemon/src/turmericrouter_daemon/target_connection.py
@@ -32,8 +32,9 @@
 _REFUSAL_STATUS = 503
 _BODYLESS_STATUSES = frozenset({204, 304})
 # Start of an answer, with its status. In the phrase or a header of an answer
-# it shows that the target stopped there and began the next answer.
-_find_status_line = re.compile(rb'HTTP/1\.[01] [1-9][0-9][0-9]').search
+# it shows that the target stopped there and began the next answer. A proxy may
+# name itself by protocol and address: "Via: HTTP/1.1 192.0.2.7".
+_find_status_line = re.compile(rb'HTTP/1\.[01] [1-9][0-9][0-9](?!\S)').search
 _TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _is_path = re.compile(r'/[^\x00-\x20\x7f]*|\*').fullmatch
 
--- a/packages/dataplane/src/turmericrouter_dataplane/http_client.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/http_client.py
@@ -27,9 +27,10 @@
 # copy comes where one of the next answers is expected, not many answers later.
 _MAX_SENT_IDS = 64
 # Start of an answer, with its status. In the phrase or a header of an answer
-# it shows that the target stopped there and began the next answer.
+# it shows that the target stopped there and began the next answer. A proxy may
+# name itself by protocol and address: "Via: HTTP/1.1 192.0.2.7".
 _PROTOCOL = b'HTTP/1.'
-_find_status_line = re.compile(rb'HTTP/1\.[01] [1-9][0-9][0-9]').search
+_find_status_line = re.compile(rb'HTTP/1\.[01] [1-9][0-9][0-9](?!\S)').search
 
 
 class Failure(enum.Enum):
@@ -124,7 +125,8 @@
         self._is_head_request = False
         self._headers: dict[bytes, bytes] = {}
         self._header_lines: list[bytes] = []
-        # Phrase and values of headers that are not forwarded.
+        # Phrase, in the parts that the parser gives, and values of headers
+        # that are not forwarded, each after a line feed.
         self._dropped_parts: list[bytes] = []
         self._has_merged_heads = False
         self._body: list[bytes] = []
@@ -281,7 +283,7 @@
         if lower not in self._dropped_headers:
             self._header_lines.append(b'%b: %b\r\n' % (name, value))
         else:
-            self._dropped_parts.append(value)
+            self._dropped_parts.append(b'\n' + value)
 
     def on_headers_complete(self) -> None:
         """Finish the answer to a HEAD request, which has no body."""
--- a/tests/daemon/test_target_connection.py
+++ b/tests/daemon/test_target_connection.py
@@ -298,6 +298,20 @@
     _with_pool(script, check)
 
 
+def test_proxy_that_names_its_address_is_no_second_answer() -> None:
+    """Fails if an address in a header counts as a status."""
+    via = b'\r\nVia: HTTP/1.1 192.0.2.7:80\r\n'
+    answer = ANSWER.replace(b'\r\n', via, 1)
+
+    async def script(request: ScriptedRequest) -> None:
+        await request.send(answer)
+
+    async def check(target: ScriptedTarget, pool: TargetPool) -> None:
+        assert (await pool.send(_request())).status == 200
+
+    _with_pool(script, check)
+
+
 @pytest.mark.parametrize('is_reset', [False, True])
 def test_answer_without_a_length_ends_with_its_connection(
     is_reset: bool,
--- a/tests/dataplane/test_cut_answers.py
+++ b/tests/dataplane/test_cut_answers.py
@@ -447,7 +447,20 @@
                 assert not exchange.connection.is_reusable
 
 
-@pytest.mark.parametrize('value', [b'1.1 proxy', b'HTTP/1.1 proxy'])
+@pytest.mark.parametrize('name', [b'Keep-Alive', b'X-A'])
+def test_second_head_without_a_phrase_is_noticed(name: bytes) -> None:
+    """Guards against a status that runs into what is parsed after it."""
+    cut = b'HTTP/1.1 503 X\r\n%b: ' % name
+    own = _LENGTH.replace(b'200 OK', b'200')
+    assert own.startswith(b'HTTP/1.1 200\r\n')
+    exchange = _Exchange()
+    exchange.receive(cut + own.replace(b'X-Last: 1', b'Keep-Alive: timeout=5'))
+    assert exchange.results == [Failure.INVALID]
+
+
+@pytest.mark.parametrize(
+    'value', [b'1.1 proxy', b'HTTP/1.1 proxy', b'HTTP/1.1 192.0.2.7:80']
+)
 def test_header_that_names_the_protocol_is_no_second_head(
     value: bytes,
 ) -> None:
