Refuse a request whose new connection is already reset

Cause: targets reset connections beyond their limit as soon as they are open. If the reset came before the turn that sends the request, nothing was written, but the outcome was 'target-crashed', which may have run: a caller whose request must not run twice got 502, and the request counted as one that may crash targets.

Ruled out: a reset after the request was written; it may have run. Kept connections, which the pool checks before it gives one out. The reason 'target-unreachable', which would take a target that serves out of use.

Before and after: pytest tests/dataplane/test_gate.py -k reset_before, two cases, failed with MAY_HAVE_RUN and pass now.

Conclusion: a request that was not sent has not run, and may go to another target without the retry budget.

--- a/packages/dataplane/src/turmericrouter_dataplane/gate.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate.py
@@ -242,6 +242,10 @@
         if job.phase is Phase.DONE:
             self._connections.give_back(connection)
             return
+        if not connection.is_open:
+            # A target that serves resets connections beyond its limit.
+            self._refuse(job, Reason.TARGET_SHED)
+            return
         now_target = self._target
         if now_target is not None and now_target.target_id == target.target_id:
             self._run(job, connection)
--- a/packages/dataplane/src/turmericrouter_dataplane/http_client.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/http_client.py
@@ -145,7 +145,8 @@
     @property
     def is_open(self) -> bool:
         """Return whether a request can be sent."""
-        return self._transport is not None
+        transport = self._transport
+        return transport is not None and not transport.is_closing()
 
     @property
     def is_busy(self) -> bool:
--- a/tests/dataplane/test_gate.py
+++ b/tests/dataplane/test_gate.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 import msgspec
+import pytest
 
 from dataplane_values import NAMES
 from scripted_target import make_answer
@@ -486,3 +487,47 @@
         assert target.connection_count == 2
 
     asyncio.run(work())
+
+
+@pytest.mark.parametrize('is_idempotent', [False, True])
+def test_connection_that_is_reset_before_its_request_has_not_run(
+    is_idempotent: bool,
+) -> None:
+    """Guards against a 502 for a request that was never sent.
+
+    A target resets a connection beyond its limit as soon as it is open.
+    """
+
+    async def work() -> list[Outcome]:
+        connect = http_client.connect
+
+        async def connect_to_full(
+            *args: Any, **options: Any
+        ) -> http_client.HttpClientConnection:
+            connection = await connect(*args, **options)
+            # The loss is reported in the next turn, as that of a reset.
+            connection.abort()
+            return connection
+
+        outcomes: list[Outcome] = []
+        async with ScriptedTarget(lambda n, i: make_answer(200, i)) as target:
+            gate = make_gate()
+            address = Address('127.0.0.1', target.port)
+            gate.set_target(
+                LocalTarget('t-1', 'design', address, 8, TargetState.SERVING)
+            )
+            frame = make_dispatch(request_id=b'a', is_idempotent=is_idempotent)
+            with mock.patch.object(http_client, 'connect', connect_to_full):
+                gate.submit(frame, outcomes.append)
+                async with asyncio.timeout(5.0):
+                    while not outcomes:
+                        await asyncio.sleep(0.005)
+            assert gate.is_idle
+            assert not gate.running
+            gate.stop()
+        return outcomes
+
+    (outcome,) = asyncio.run(work())
+    assert outcome.verdict is Verdict.NOT_RUN
+    assert outcome.reason is Reason.TARGET_SHED
+    assert not outcome.was_sent
