Finish the link servers of the tests of members

Ruled out: a fault of the code. The tests failed behind their last assertion with "'LinkServer' object has no attribute 'stop'".

Conclusion: the call has the present name; the assertions are the same.

--- a/tests/dataplane/test_members.py
+++ b/tests/dataplane/test_members.py
@@ -341,7 +341,7 @@
         for members in hosts:
             members.stop()
         for server in servers:
-            server.stop()
+            server.finish()
 
     asyncio.run(work())
 
@@ -407,6 +407,6 @@
         for members in (own, far):
             members.stop()
         for server in servers:
-            server.stop()
+            server.finish()
 
     asyncio.run(work())
