Close the connections of stand-in servers in tests

Cause: handlers of stand-in servers that ended by an error, or were cancelled as the event loop ended, left their writers open. They were collected after the loop, and pytest warned "Event loop is closed" from StreamWriter.__del__. With tracemalloc, the writers were those of test_address_of_another_target_gets_no_further_requests, test_refusal_without_an_id_on_a_used_connection_proves_nothing and test_surplus_answer_never_goes_to_the_next_request.

Ruled out: connections of the code under test. With tracemalloc and -W always, test_gate, test_http_client and test_dispatcher still report unclosed sockets that the fixture of test_dispatcher leaves open, but no writer.

Under tracemalloc, three cases of test_endless_answers failed and the run exceeded 400 s; why was not traced.

Conclusion: scripted_target.start_server closes each connection as its handler ends. Assertions are unchanged.

--- a/tests/dataplane/scripted_target.py
+++ b/tests/dataplane/scripted_target.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
 import socket
@@ -16,6 +17,11 @@
 # from 1, given the request's id.
 AnswerScript = Callable[[int, bytes], bytes]
 
+# Serves one connection.
+ConnectionHandler = Callable[
+    [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
+]
+
 
 def make_answer(
     status: int,
@@ -44,6 +50,28 @@
     return b''
 
 
+async def start_server(handle: ConnectionHandler) -> asyncio.Server:
+    """Start a server on a free port of the loopback address.
+
+    A connection is closed when its handler ends, also by an error or as the
+    event loop ends. A writer that is left open closes only when it is
+    collected, which fails if its loop has been closed by then.
+
+    Args:
+        handle: Called for each connection.
+    """
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            await handle(reader, writer)
+        finally:
+            writer.close()
+
+    return await asyncio.start_server(serve, '127.0.0.1', 0)
+
+
 def reset(writer: asyncio.StreamWriter) -> None:
     """Close a connection with a reset."""
     sock = writer.get_extra_info('socket')
@@ -65,7 +93,7 @@
         self.request_ids: list[bytes] = []
 
     async def __aenter__(self) -> 'ScriptedTarget':
-        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        self._server = await start_server(self._serve)
         self.port = self._server.sockets[0].getsockname()[1]
         return self
 
@@ -90,5 +118,4 @@
                 request_id = find_request_id(head)
                 self.request_ids.append(request_id)
                 writer.write(self._script(number, request_id))
-        writer.close()
         self._tasks.discard(task)
--- a/tests/dataplane/test_cut_answers.py
+++ b/tests/dataplane/test_cut_answers.py
@@ -14,6 +14,7 @@
 from dataplane_values import NAMES
 from scripted_target import make_answer
 from scripted_target import reset
+from scripted_target import start_server
 from turmericrouter_core.verdict import Reason
 from turmericrouter_core.verdict import Verdict
 from turmericrouter_dataplane.call import Call
@@ -344,7 +345,7 @@
                 reset(writer)
             writer.close()
 
-        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        server = await start_server(serve)
         address = Address(*server.sockets[0].getsockname()[:2])
         timers = TimerService(lambda name, error: None)
         gate = Gate(
--- a/tests/dataplane/test_dispatcher.py
+++ b/tests/dataplane/test_dispatcher.py
@@ -11,6 +11,7 @@
 from dataplane_values import make_route
 from dataplane_values import make_workspace
 from dataplane_values import NAMES
+from scripted_target import start_server
 from turmericrouter_dataplane.decision_log import DecisionLog
 from turmericrouter_dataplane.dispatcher import Dispatcher
 from turmericrouter_dataplane.gate import Gate
@@ -91,7 +92,7 @@
         )
 
     async def start(self) -> None:
-        target = await asyncio.start_server(self._hold, '127.0.0.1', 0)
+        target = await start_server(self._hold)
         address = Address('127.0.0.1', target.sockets[0].getsockname()[1])
         self.gate.set_target(
             LocalTarget('id-h0', 'design', address, 1, TargetState.SERVING)
--- a/tests/dataplane/test_endless_answers.py
+++ b/tests/dataplane/test_endless_answers.py
@@ -6,11 +6,13 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import os
 import pathlib
 
 import pytest
 
+from scripted_target import start_server
 from turmericrouter_dataplane import http_client
 from turmericrouter_dataplane.http_client import Failure
 from turmericrouter_dataplane.http_client import HttpClientConnection
@@ -63,22 +65,18 @@
     head: bytes, rest: bytes, reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
 ) -> None:  # fmt: skip
-    try:
+    with contextlib.suppress(OSError):
         await reader.readuntil(b'\r\n\r\n')
         writer.write(head)
         while True:
             writer.write(rest)
             await writer.drain()
-    except OSError:
-        writer.close()
 
 
 async def _with_server(
     head: bytes, rest: bytes, check: Callable[[int], Awaitable[None]]
 ) -> None:
-    server = await asyncio.start_server(
-        lambda r, w: _serve_endless(head, rest, r, w), '127.0.0.1', 0
-    )
+    server = await start_server(lambda r, w: _serve_endless(head, rest, r, w))
     async with asyncio.timeout(TIMEOUT_S):
         await check(server.sockets[0].getsockname()[1])
     server.close()
@@ -143,9 +141,10 @@
     ) -> None:
         await reader.readuntil(b'\r\n\r\n')
         writer.write(_OK + b'Content-Length: 1000000\r\n\r\n' + bytes(10**6))
+        await reader.read()
 
     async def work() -> None:
-        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        server = await start_server(serve)
         port = server.sockets[0].getsockname()[1]
         budget = ReceiveBudget(2_000_000)
         for _ in range(5):
--- a/tests/dataplane/test_gate.py
+++ b/tests/dataplane/test_gate.py
@@ -6,6 +6,7 @@
 from dataplane_values import NAMES
 from scripted_target import make_answer
 from scripted_target import ScriptedTarget
+from scripted_target import start_server
 from turmericrouter_core.verdict import Reason
 from turmericrouter_core.verdict import Verdict
 from turmericrouter_dataplane.decision_log import DecisionLog
@@ -102,7 +103,7 @@
                     b'HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n'
                 )
 
-        server = await asyncio.start_server(answer, '127.0.0.1', 0)
+        server = await start_server(answer)
         port = server.sockets[0].getsockname()[1]
         gate = make_gate()
         gate.set_target(
@@ -149,7 +150,7 @@
                     % NAMES.not_run
                 )
 
-        server = await asyncio.start_server(answer, '127.0.0.1', 0)
+        server = await start_server(answer)
         port = server.sockets[0].getsockname()[1]
         gate = make_gate()
         address = Address('127.0.0.1', port)
@@ -208,7 +209,7 @@
             limits_ms.append(int(value.partition(b'\r\n')[0]))
             writer.close()
 
-        server = await asyncio.start_server(answer, '127.0.0.1', 0)
+        server = await start_server(answer)
         port = server.sockets[0].getsockname()[1]
         gate = make_gate()
         address = Address('127.0.0.1', port)
@@ -262,7 +263,7 @@
             received.append(await reader.read(100))
             writer.close()
 
-        server = await asyncio.start_server(answer, '127.0.0.1', 0)
+        server = await start_server(answer)
         port = server.sockets[0].getsockname()[1]
         gate = make_gate()
         address = Address('127.0.0.1', port)
@@ -302,7 +303,7 @@
             await reader.read(-1)
             writer.close()
 
-        server = await asyncio.start_server(hold, '127.0.0.1', 0)
+        server = await start_server(hold)
         port = server.sockets[0].getsockname()[1]
         gate = make_gate()
         address = Address('127.0.0.1', port)
--- a/tests/dataplane/test_http_client.py
+++ b/tests/dataplane/test_http_client.py
@@ -35,19 +35,16 @@
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         await reader.readuntil(b'\r\n\r\n')
-        try:
-            for part in parts:
-                writer.write(part)
-                await writer.drain()
-                await asyncio.sleep(0.02)
-            if reset:
-                scripted_target.reset(writer)
-            elif not close:
-                await reader.read()
-        finally:
-            writer.close()
+        for part in parts:
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(0.02)
+        if reset:
+            scripted_target.reset(writer)
+        elif not close:
+            await reader.read()
 
-    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    server = await scripted_target.start_server(serve)
     port = server.sockets[0].getsockname()[1]
     connection = await http_client.connect(
         '127.0.0.1', port, lambda _: None, timeout_s=2.0, id_header=b'x-id'
@@ -119,7 +116,7 @@
             await asyncio.sleep(0.2)
             writer.close()
 
-        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        server = await scripted_target.start_server(serve)
         port = server.sockets[0].getsockname()[1]
         connection = await http_client.connect(
             '127.0.0.1', port, lambda _: None, timeout_s=2.0, id_header=b'x-id'
--- a/tests/dataplane/test_links.py
+++ b/tests/dataplane/test_links.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+from scripted_target import start_server
 from turmericrouter_core.verdict import Reason
 from turmericrouter_core.verdict import Verdict
 from turmericrouter_dataplane.frames import Cancel
@@ -96,12 +97,9 @@
         async def swallow(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
-            try:
-                await silent.wait()
-            finally:
-                writer.close()
+            await silent.wait()
 
-        server = await asyncio.start_server(swallow, '127.0.0.1', 0)
+        server = await start_server(swallow)
         port = server.sockets[0].getsockname()[1]
         pool, link = await open_link(port, Recorder())
         future = await call(link)
