--- a/packages/dataplane/src/turmericrouter_dataplane/drain.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/drain.py
@@ -12,8 +12,8 @@
 from turmericrouter_dataplane.timers import TimerService
 
 _IDLE_CHECK_PERIOD_S = 0.05
-# Peers close a finished link as soon as they have read it. One that does not
-# is not waited for longer once everything has left the process.
+# Peers close a finished link as soon as they have read it. A link that stays
+# open is waited for only this long after its last outcome was sent.
 _LINK_CLOSE_TIMEOUT_S = 1.0
 
 
--- a/packages/dataplane/src/turmericrouter_dataplane/frames.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/frames.py
@@ -9,15 +9,13 @@
 from turmericrouter_core.errors import ProtocolError
 from turmericrouter_core.verdict import Reason
 from turmericrouter_core.verdict import Verdict
+from turmericrouter_dataplane.policy.config_order import UNKNOWN_DIGEST
 from turmericrouter_dataplane.policy.log_era import UNKNOWN_ERA
 
 _LENGTH = struct.Struct('>I')
 # Fits the largest body that a configuration may allow and its head.
 MAX_FRAME_BYTES = 80 * 1024 * 1024
 
-# Reported by a host without a configuration, and by older daemons.
-_UNKNOWN_DIGEST = 0
-
 # Revision of the frames. A daemon closes a link on a frame that it does not
 # know, so newer frames go only to peers that report at least their revision.
 PROTOCOL_REVISION = 2
@@ -80,7 +78,7 @@
     reads_log: bool = True
     log_era: int = UNKNOWN_ERA
     config_era: int = UNKNOWN_ERA
-    config_digest: int = _UNKNOWN_DIGEST
+    config_digest: int = UNKNOWN_DIGEST
     is_serving: bool = True
 
 
@@ -103,7 +101,7 @@
     is_watched: bool = False
     log_era: int = UNKNOWN_ERA
     config_era: int = UNKNOWN_ERA
-    config_digest: int = _UNKNOWN_DIGEST
+    config_digest: int = UNKNOWN_DIGEST
 
 
 class Dispatch(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/packages/dataplane/src/turmericrouter_dataplane/gate.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate.py
@@ -114,7 +114,7 @@
         self._limit = max(1, int(target.slots * _LIMIT_FRACTION))
         self._queue.capacity = max(8, self._limit)
         if before is not None and before.target_id != target.target_id:
-            self._connections.close_idle()
+            self._connections.close_all()
         if target.state is not TargetState.SERVING:
             for job in self._queue.clear():
                 self._refuse(job, Reason.TARGET_LEAVING)
@@ -254,7 +254,7 @@
     ) -> None:
         if self._target is target and self._is_reachable:
             self._is_reachable = False
-            self._connections.close_idle()
+            self._connections.close_all()
             self._log.event(
                 'target_unreachable',
                 target=target.target_id,
@@ -459,7 +459,7 @@
         return int((expires_at - self._timers.now()) * 1000)
 
     def _find_refusal(self, job: GateJob, remaining_ms: int) -> Reason | None:
-        """Return why a request is not sent to the target, None if it is."""
+        """Return why a request must not be sent now, None if it may be."""
         if not self.stop_guard.may_send(
             self._timers.now(),
             expires_at=job.expires_at,
--- a/packages/dataplane/src/turmericrouter_dataplane/gate_job.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate_job.py
@@ -47,7 +47,7 @@
     def is_local(self) -> bool:
         """Return whether the request entered at this host.
 
-        It has then crossed no link, on which a correlation would name it.
+        Only a request that came over a link has a correlation.
         """
         return not self.frame.correlation
 
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/config_order.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/config_order.py
@@ -2,7 +2,8 @@
 
 import dataclasses
 
-# Reported by older daemons, which tell their version only.
+# Reported by a host without a configuration, and by older daemons, which tell
+# their version only.
 UNKNOWN_DIGEST = 0
 
 
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/start_check.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/start_check.py
@@ -7,16 +7,17 @@
 from collections.abc import Collection
 import math
 
-# A host that knows of others, none of which has answered, serves after this
-# time; then it is cut off, or all of them have just started too.
+# A host that knows of others waits this long for their answers, unless one
+# reports a newer version. If none answers, it is cut off, or all of them have
+# just started too.
 PEER_TIMEOUT_S = 1.0
-# Without the directory a host knows no peer to ask. Peers that know of it dial
-# it at least every two seconds.
+# Without the directory a host knows no peer to ask and waits this long for
+# peers that know of it. They dial it at least every two seconds.
 DIRECTORY_TIMEOUT_S = 3.0
 # Time for the version that a peer has reported to arrive.
 NEWER_VERSION_TIMEOUT_S = 3.0
-# Further peers get this time after the first answer, as that one may have
-# started just before.
+# Further peers get this time after the first answer of a peer that serves, as
+# that one may have started just before.
 _SETTLE_S = 0.05
 # The same if all peers that have answered are starting. They may have read the
 # same older configuration, and links to other failure domains open later.
@@ -92,6 +93,8 @@
             self._config_since = min(self._config_since, now)
             if self._has_directory:
                 self._peers_since = min(self._peers_since, now)
+            if self._outdated_since is None and self.newest_version > version:
+                self._outdated_since = now
             self._is_done = self._may_serve(version, peers, linked, now)
         return self._is_done
 
@@ -102,9 +105,7 @@
         if self._answered_at is None:
             is_alone = self._has_directory and not peers
             return is_alone or is_overdue
-        if self.newest_version > version:
-            if self._outdated_since is None:
-                self._outdated_since = now
+        if self._outdated_since is not None and self.newest_version > version:
             return now - self._outdated_since >= NEWER_VERSION_TIMEOUT_S
         if is_overdue:
             return True
--- a/packages/dataplane/src/turmericrouter_dataplane/target_connections.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/target_connections.py
@@ -33,8 +33,9 @@
         self._budget = ReceiveBudget(http_client.MAX_UNFINISHED_BYTES)
         self._idle: list[HttpClientConnection] = []
         self._all: set[HttpClientConnection] = set()
-        # Number of times that all connections were closed.
-        self._generation = 0
+        # Number of calls of `close_all`, to notice one while a connection is
+        # opened.
+        self._close_count = 0
 
     async def open(self, address: Address) -> HttpClientConnection:
         """Open a connection.
@@ -42,7 +43,7 @@
         Raises:
             OSError: The connection could not be opened; nothing was sent.
         """
-        generation = self._generation
+        close_count = self._close_count
         connection = await http_client.connect(
             address.ip,
             address.port,
@@ -53,7 +54,7 @@
             budget=self._budget,
         )
         self._all.add(connection)
-        if generation != self._generation:
+        if close_count != self._close_count:
             connection.end_reuse()
         return connection
 
@@ -76,11 +77,7 @@
         for index in reversed(range(len(idle))):
             connection = idle[index]
             idle_s = now - connection.idle_since
-            max_idle_s = _MAX_IDLE_S
-            if connection.keep_alive_s:
-                max_idle_s = min(
-                    max_idle_s, connection.keep_alive_s - _KEEP_ALIVE_MARGIN_S
-                )
+            max_idle_s = _max_idle_s(connection)
             if not connection.is_reusable or idle_s > max_idle_s:
                 idle.pop(index).close()
                 continue
@@ -92,8 +89,8 @@
                 return idle.pop(index)
             is_other_needed = True
         if is_other_needed:
-            # The new connection takes the place of the oldest one, as targets
-            # accept a limited number.
+            # The new connection takes the place of the oldest idle one, as
+            # targets accept a limited number.
             idle.pop(0).close()
         return None
 
@@ -110,12 +107,13 @@
         while self._idle and self._idle[0].idle_since < oldest:
             self._idle.pop(0).close()
 
-    def close_idle(self) -> None:
+    def close_all(self) -> None:
         """Close all connections, those in use after their answer.
 
-        Another target may have the address of those that are opened now.
+        One that is being opened carries one request at most, as it may still
+        lead to the target that had the address before.
         """
-        self._generation += 1
+        self._close_count += 1
         for connection in self._all:
             connection.end_reuse()
         idle, self._idle = self._idle, []
@@ -126,3 +124,10 @@
         """Abort all connections, idle or in use."""
         for connection in list(self._all):
             connection.abort()
+
+
+def _max_idle_s(connection: HttpClientConnection) -> float:
+    """Return how long a connection may have been idle when it is reused."""
+    if not connection.keep_alive_s:
+        return _MAX_IDLE_S
+    return min(_MAX_IDLE_S, connection.keep_alive_s - _KEEP_ALIVE_MARGIN_S)
