--- a/tests/daemon/test_target_connection.py
+++ b/tests/daemon/test_target_connection.py
@@ -110,29 +110,21 @@
     idempotent: bool,
 ) -> None:
     """Fails if a refusal written once more tells a request "not run"."""
+    writers: list[asyncio.StreamWriter] = []
 
     async def script(request: ScriptedRequest) -> None:
-        if request.writer is target.requests[0].writer:
+        writers.append(request.writer)
+        if request.writer is writers[0]:
             await request.send(REFUSAL)
         else:
             await request.answer(b'own')
 
-    target = ScriptedTarget(script)
-
-    async def run() -> None:
-        async with target, asyncio.timeout(20):
-            pool = TargetPool(
-                '127.0.0.1',
-                target.port,
-                connect_timeout_s=5.0,
-                max_answer_bytes=1000,
-            )
-            assert (await pool.send(_request())).status == 503
-            answer = await pool.send(_request(idempotent=idempotent))
-            assert (answer.status, answer.body) == (200, b'own')
-            pool.close()
+    async def check(target: ScriptedTarget, pool: TargetPool) -> None:
+        assert (await pool.send(_request())).status == 503
+        answer = await pool.send(_request(idempotent=idempotent))
+        assert (answer.status, answer.body) == (200, b'own')
 
-    asyncio.run(run())
+    _with_pool(script, check)
 
 
 FAULTS = [
--- a/tests/dataplane/test_era_watch.py
+++ b/tests/dataplane/test_era_watch.py
@@ -5,25 +5,16 @@
 
 import pytest
 
+from recording_log import RecordingLog
 from turmericrouter_dataplane import era_watch
 from turmericrouter_dataplane.era_watch import EraWatch
 from turmericrouter_dataplane.policy.log_era import LogEra
 from turmericrouter_dataplane.policy.log_era import UNKNOWN_ERA
 
 
-class _Log:
-    """Records events."""
-
-    def __init__(self) -> None:
-        self.events: list[tuple[str, dict[str, Any]]] = []
-
-    def event(self, event: str, **fields: Any) -> None:
-        self.events.append((event, fields))
-
-
 class _Fixture:
     def __init__(self) -> None:
-        self.log = _Log()
+        self.log = RecordingLog()
         log: Any = self.log
         self.rises: list[bool] = []
         self.watch = EraWatch(LogEra(), log)
--- a/tests/dataplane/test_settings_reload.py
+++ b/tests/dataplane/test_settings_reload.py
@@ -3,6 +3,7 @@
 import dataclasses
 from typing import Any
 
+from recording_log import RecordingLog
 from turmericrouter_core.errors import SettingsError
 from turmericrouter_dataplane.settings import Address
 from turmericrouter_dataplane.settings import Settings
@@ -49,21 +50,11 @@
         return self.fingerprint
 
 
-class _Log:
-    """Records events."""
-
-    def __init__(self) -> None:
-        self.events: list[tuple[str, dict[str, Any]]] = []
-
-    def event(self, event: str, **fields: Any) -> None:
-        self.events.append((event, fields))
-
-
 class _Fixture:
     def __init__(self) -> None:
         self.source = _Source()
         self.applied: list[Settings] = []
-        self.log = _Log()
+        self.log = RecordingLog()
         log: Any = self.log
         self.reload = SettingsReload(
             self.source, _SETTINGS, self.applied.append, log
--- a/tests/dataplane/test_start_guard.py
+++ b/tests/dataplane/test_start_guard.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from dataplane_values import make_config
+from recording_log import RecordingLog
 from turmericrouter_dataplane.fleet_config import FleetConfig
 from turmericrouter_dataplane.start_guard import StartGuard
 from turmericrouter_dataplane.timers import Deadline
@@ -66,23 +67,13 @@
             self._deadline.callback()
 
 
-class _Log:
-    """Records events."""
-
-    def __init__(self) -> None:
-        self.events: list[tuple[str, dict[str, Any]]] = []
-
-    def event(self, event: str, **fields: Any) -> None:
-        self.events.append((event, fields))
-
-
 class _Fixture:
     """A daemon that starts beside the peers `a` and `b`."""
 
     def __init__(self) -> None:
         self.members = _Members()
         self.feed = _Feed()
-        self.log = _Log()
+        self.log = RecordingLog()
         self.in_force: list[FleetConfig] = []
         self.timers = _Timers()
         timers: Any = self.timers
--- a/tests/dataplane/test_supervisor.py
+++ b/tests/dataplane/test_supervisor.py
@@ -5,24 +5,15 @@
 
 import pytest
 
+from recording_log import RecordingLog
 from turmericrouter_dataplane import supervisor
 
 
-class _Log:
-    """Records events."""
-
-    def __init__(self) -> None:
-        self.events: list[tuple[str, dict[str, Any]]] = []
-
-    def event(self, event: str, **fields: Any) -> None:
-        self.events.append((event, fields))
-
-
 def test_failed_work_is_logged_and_started_again(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(supervisor, 'RESTART_DELAY_S', 0.0)
-    log: Any = _Log()
+    log: Any = RecordingLog()
     starts = 0
     is_running = asyncio.Event()
 
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -110,6 +110,21 @@
     fleet.store.put('keyed.op', 'foreign', b'value')
 
 
+async def _depart_after_copy(fleet: Fleet, leaving: Host) -> dict[str, int]:
+    """Copy the store, and wait until it holds the departure of a target.
+
+    Returns:
+        The copy, which has the records of all hosts but not the departure.
+    """
+    await _until(lambda: len(_stored_hosts(fleet)) == len(fleet.hosts))
+    await asyncio.sleep(0.5)
+    copy = fleet.store.copy()
+    leaving.upstream.stop_announcing()
+    await leaving.upstream.depart()
+    await _until(lambda: fleet.store.copy()[_HOSTS] > copy[_HOSTS])
+    return copy
+
+
 async def _restart_all(hosts: list[Host]) -> None:
     for host in hosts:
         host.send_signal(signal.SIGKILL)
@@ -131,12 +146,7 @@
         services = ('design', 'works', 'works')
         async with run_fleet(tmp_path, services) as fleet:
             entry, leaving = fleet.hosts[0], fleet.hosts[1]
-            await _until(lambda: len(_stored_hosts(fleet)) == 3)
-            await asyncio.sleep(0.5)
-            copy = fleet.store.copy()
-            leaving.upstream.stop_announcing()
-            await leaving.upstream.depart()
-            await _until(lambda: fleet.store.copy()[_HOSTS] > copy[_HOSTS])
+            copy = await _depart_after_copy(fleet, leaving)
             departed = _stored_hosts(fleet)[leaving.name]
             _restore_noticed(fleet, copy)
             await _until(
@@ -168,12 +178,7 @@
         services = ('design', 'works', 'works')
         async with run_fleet(tmp_path, services) as fleet:
             entry, leaving = fleet.hosts[0], fleet.hosts[1]
-            await _until(lambda: len(_stored_hosts(fleet)) == 3)
-            await asyncio.sleep(0.5)
-            copy = fleet.store.copy()
-            leaving.upstream.stop_announcing()
-            await leaving.upstream.depart()
-            await _until(lambda: fleet.store.copy()[_HOSTS] > copy[_HOSTS])
+            copy = await _depart_after_copy(fleet, leaving)
             await asyncio.sleep(0.3)
             runs = len(leaving.upstream.runs)
             leaving.send_signal(signal.SIGKILL)
