--- a/packages/dataplane/src/turmericrouter_dataplane/gate.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate.py
@@ -466,7 +466,7 @@
         return int((expires_at - self._timers.now()) * 1000)
 
     def _find_refusal(self, job: GateJob, remaining_ms: int) -> Reason | None:
-        """Return why a request is not sent to the target, None if it is."""
+        """Return why a request must not be sent now, None if it may be."""
         if not self.stop_guard.may_send(
             self._timers.now(),
             expires_at=job.expires_at,
