--- a/packages/dataplane/src/turmericrouter_dataplane/target_connections.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/target_connections.py
@@ -33,8 +33,8 @@
         self._budget = ReceiveBudget(http_client.MAX_UNFINISHED_BYTES)
         self._idle: list[HttpClientConnection] = []
         self._all: set[HttpClientConnection] = set()
-        # Number of calls of `close_after_use`, to notice one while a connection is
-        # opened.
+        # Number of calls of `close_after_use`, to notice one while a
+        # connection is opened.
         self._close_count = 0
 
     async def open(self, address: Address) -> HttpClientConnection:
