Send a configuration again until each host has confirmed it

Cause: nobody owned a change for a host until that host had it. A log reader sent one copy to each host of its domain and kept no record. A copy that was lost was sent again only with the host's next heartbeat, and over the same link. A connection that has gone silent without an error is not noticed without a call in flight, so each repeat was lost as well until TCP gave up.

Conclusion: a host confirms a new version at once to the readers of its domain and to its watchers. They own the change until then: they send it again after 0.3 s and 0.5 s, and a probe after each copy closes a link that has gone silent.

--- a/packages/dataplane/src/turmericrouter_dataplane/application.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/application.py
@@ -366,6 +366,7 @@
         # tokens as soon as they have a link.
         self._quota.configure(config.workspaces, self._timers.now())
         self._start_guard.apply(config)
+        self._members.handle_config_applied()
 
     def _put_in_force(self, config: FleetConfig) -> None:
         self._dispatcher.set_config(config)
--- a/packages/dataplane/src/turmericrouter_dataplane/config_sharing.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/config_sharing.py
@@ -13,11 +13,13 @@
 from turmericrouter_dataplane.policy.target_chooser import TargetChooser
 from turmericrouter_dataplane.policy.watchers import WatchedHosts
 
-# A peer that lacks the current configuration is sent it after this time; by
-# then it should have its copy. Its watchers and bootstrap peers send it
-# first, other hosts only after the longer time.
-_CONFIG_LAG_S = 0.5
+# A host that has not confirmed the configuration is sent it again after these
+# times: by the log readers of its domain, by its watchers and bootstrap peers,
+# and by all other hosts, which hear of it less often.
+_READER_PATIENCE_S = 0.3
+_HELPER_PATIENCE_S = 0.5
 _MAX_CONFIG_LAG_S = 3.0
+_RESEND_PERIOD_S = 0.5
 # Bootstrap peers of a host in its own failure domain, and in the whole fleet.
 _DOMAIN_BOOTSTRAP_PEERS = 2
 _FLEET_BOOTSTRAP_PEERS = 2
@@ -53,6 +55,11 @@
         self._era_watch = era_watch
         # When each lagging host first reported another configuration.
         self._lagging_since: dict[str, float] = {}
+        # Newest configuration that each host has reported.
+        self._reported: dict[str, ConfigIdentity] = {}
+        # Hosts that this one sends the configuration until they report it,
+        # with the earliest time of the next copy.
+        self._unconfirmed: dict[str, float] = {}
 
     def copy_to_domain(self) -> None:
         """Send the configuration to the other hosts of the domain."""
@@ -63,6 +70,19 @@
             view = views.get(link.peer)
             if view is not None and view.record.domain == domain:
                 link.send_encoded(copy)
+                self._expect_confirmation(link.peer, _READER_PATIENCE_S)
+
+    def handle_applied(self) -> None:
+        """Expect the hosts that this one watches to confirm a new version."""
+        for host in self._watched:
+            self._expect_confirmation(host, _HELPER_PATIENCE_S)
+
+    def check(self, now: float) -> None:
+        """Send the configuration again to hosts that have not confirmed it."""
+        for host, due_at in list(self._unconfirmed.items()):
+            link = self._pool.get(host)
+            if link is not None and now >= due_at:
+                self._send_copy(host, link, now)
 
     def record_config(
         self, record: HostRecord, config: ConfigIdentity, now: float
@@ -74,19 +94,23 @@
             config: Configuration in force there.
             now: Monotonic seconds.
         """
-        if not config.is_older_than(self._config.identity):
-            self.forget(record.name)
+        host = record.name
+        self._reported[host] = config
+        if not self._is_outdated(host):
+            self._lagging_since.pop(host, None)
+            self._unconfirmed.pop(host, None)
             return
-        since = self._lagging_since.setdefault(record.name, now)
-        link = self._pool.get(record.name)
-        if link is None or now - self._config.applied_at < _CONFIG_LAG_S:
+        since = self._lagging_since.setdefault(host, now)
+        link = self._pool.get(host)
+        if link is None or now - self._config.applied_at < _HELPER_PATIENCE_S:
             return
         if now - since < _MAX_CONFIG_LAG_S and not (
-            record.name in self._watched or self.is_bootstrap_peer(record.name)
+            host in self._watched or self.is_bootstrap_peer(host)
         ):
             return
-        link.send(self._copy())
-        self.introduce(record.name, config.version, link)
+        if now >= self._unconfirmed.get(host, now):
+            self._send_copy(host, link, now)
+            self.introduce(host, config.version, link)
 
     def introduce(self, host: str, version: int, link: Link) -> None:
         """Send the known hosts to a peer that may not know them.
@@ -107,8 +131,10 @@
             link.send(Introduction(hosts))
 
     def forget(self, host: str) -> None:
-        """Forget that a host has lagged."""
+        """Forget a host that has left."""
         self._lagging_since.pop(host, None)
+        self._reported.pop(host, None)
+        self._unconfirmed.pop(host, None)
 
     def is_bootstrap_peer(self, host: str) -> bool:
         """Return whether this host is a bootstrap peer of another host.
@@ -134,6 +160,30 @@
         bootstrap_peers += rank_by_hash(host, others)[:_FLEET_BOOTSTRAP_PEERS]
         return self._host in bootstrap_peers
 
+    def _expect_confirmation(self, host: str, patience_s: float) -> None:
+        if self._is_outdated(host):
+            due_at = self._config.applied_at + patience_s
+            self._unconfirmed[host] = min(
+                due_at, self._unconfirmed.get(host, due_at)
+            )
+
+    def _is_outdated(self, host: str) -> bool:
+        """Return whether a host has reported an older configuration last."""
+        reported = self._reported.get(host)
+        return reported is not None and reported.is_older_than(
+            self._config.identity
+        )
+
+    def _send_copy(self, host: str, link: Link, now: float) -> None:
+        """Send a copy, and find out whether the link still works.
+
+        A connection may have gone silent without an error; the probe closes
+        it, and the next copy goes over a new one.
+        """
+        link.send(self._copy())
+        link.probe(now)
+        self._unconfirmed[host] = now + _RESEND_PERIOD_S
+
     def _copy(self) -> ConfigCopy:
         config = self._config
         return ConfigCopy(config.version, config.document, config.document_era)
--- a/packages/dataplane/src/turmericrouter_dataplane/members.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/members.py
@@ -31,7 +31,7 @@
 from turmericrouter_dataplane.links import LinkPool
 from turmericrouter_dataplane.policy.config_order import ConfigIdentity
 from turmericrouter_dataplane.policy.crash_records import CrashRecords
-from turmericrouter_dataplane.policy.log_readers import is_log_reader
+from turmericrouter_dataplane.policy.log_readers import find_log_readers
 from turmericrouter_dataplane.policy.reachable_hosts import find_reachable
 from turmericrouter_dataplane.policy.retry_budget import RetryBudget
 from turmericrouter_dataplane.policy.target_chooser import HostView
@@ -304,14 +304,31 @@
 
     def is_log_reader(self) -> bool:
         """Return whether this host follows the log for its domain."""
-        views = self._chooser.views
-        own = views[self._record.name]
-        return is_log_reader(own, (v for v in views.values() if v is not own))
+        return self._record.name in self._log_readers()
+
+    def handle_config_applied(self) -> None:
+        """Confirm a new configuration to the hosts that would send it."""
+        self._sharing.handle_applied()
+        readers = self._log_readers()
+        links = self._pool.open_links()
+        watchers = self._update_watchers(links)
+        for link in links:
+            if link.peer in watchers or link.peer in readers:
+                is_watched = link.peer in watchers
+                link.send(self._reports.heartbeat(is_watched=is_watched))
 
     def copy_config(self) -> None:
         """Send the configuration to the other hosts of the domain."""
         self._sharing.copy_to_domain()
 
+    def _log_readers(self) -> list[str]:
+        """Return the hosts that follow the log for the domain."""
+        views = self._chooser.views
+        own = views[self._record.name]
+        return find_log_readers(
+            own, (v for v in views.values() if v is not own)
+        )
+
     def broadcast_status(self) -> None:
         """Send the status of this host to all peers."""
         status = encode_frame(self._status())
@@ -330,6 +347,7 @@
         self._pool.check(now)
         self._update_reachable(now)
         self._probes.report_silent_hosts(now)
+        self._sharing.check(now)
         for peer in self._pool.suspects(now):
             view = self._chooser.views.get(peer)
             if view is not None:
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/log_readers.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/log_readers.py
@@ -9,8 +9,8 @@
 _READERS_PER_DOMAIN = 2
 
 
-def is_log_reader(own: HostView, others: Iterable[HostView]) -> bool:
-    """Return whether this host follows the log, and copies it to its domain.
+def find_log_readers(own: HostView, others: Iterable[HostView]) -> list[str]:
+    """Return the hosts that follow the log for the domain of this host.
 
     Every host decides for itself, so a host that reaches no other one of its
     domain reads the log on its own.
@@ -29,4 +29,14 @@
         and not view.is_leaving
         and view.reads_log
     ]
-    return name in rank_by_hash(domain, candidates)[:_READERS_PER_DOMAIN]
+    return rank_by_hash(domain, candidates)[:_READERS_PER_DOMAIN]
+
+
+def is_log_reader(own: HostView, others: Iterable[HostView]) -> bool:
+    """Return whether this host follows the log, and copies it to its domain.
+
+    Args:
+        own: This host.
+        others: All other known hosts.
+    """
+    return own.record.name in find_log_readers(own, others)
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/watchers.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/watchers.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Collection
+from collections.abc import Iterator
 
 from turmericrouter_core.rendezvous import rank_by_hash
 
@@ -36,6 +37,9 @@
     def __contains__(self, host: str) -> bool:
         return host in self._heard_at
 
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._heard_at)
+
     def record(self, host: str, now: float, *, is_watched: bool) -> None:
         """Record a heartbeat.
 
--- a/tests/dataplane/test_members.py
+++ b/tests/dataplane/test_members.py
@@ -211,6 +211,9 @@
     def send(self, frame: object) -> None:
         self.sent.append(frame)
 
+    def probe(self, now: float) -> None:
+        """Answer at once."""
+
 
 def test_rise_of_the_era_is_learned_from_a_peer() -> None:
     """Guards against a host that never hears that its record is lost."""
