--- a/packages/dataplane/src/turmericrouter_dataplane/gate.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate.py
@@ -5,6 +5,7 @@
 
 from turmericrouter_core.verdict import Reason
 from turmericrouter_core.verdict import Verdict
+from turmericrouter_dataplane.answer_verdict import AnswerVerdict
 from turmericrouter_dataplane.decision_log import DecisionLog
 from turmericrouter_dataplane.frames import Dispatch
 from turmericrouter_dataplane.frames import Outcome
@@ -30,8 +31,6 @@
 # A request of a peer that a stopping daemon cannot give this time is refused;
 # the peer, which knows the latency objective, sends it to another host.
 _MIN_SERVICE_TIME_S = 0.5
-# Statuses from which callers conclude that a request has not run.
-_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 class Gate:
@@ -67,8 +66,7 @@
         self._connections = TargetConnections(headers)
         self._limit = 0
         self.stop_guard = StopGuard()
-        self._signature = headers.signature.lower()
-        self._not_run = headers.not_run.lower()
+        self._answer_verdict = AnswerVerdict(headers)
 
     @property
     def target(self) -> LocalTarget | None:
@@ -343,31 +341,17 @@
         self._classify(job, result)
 
     def _classify(self, job: GateJob, answer: HttpResponse) -> None:
-        headers, status = answer.headers, answer.status
-        is_refusal = status == 421 or self._not_run in headers
-        if not answer.is_attributed or (is_refusal and status < 400):
-            # It may be a late copy of the answer to an earlier request, so
-            # that the target may be running this one; or it says both that
-            # the request ran and that it did not.
-            self._reply_invalid(job)
-            return
-        if is_refusal:
-            reason = (
-                Reason.TARGET_RETIRED if status == 421 else Reason.TARGET_SHED
-            )
-            self._reply(job, Verdict.NOT_RUN, reason, sent=True)
-            return
-        is_signed = self._signature in headers
-        if (status < 300 and not is_signed) or status in _NOT_RUN_STATUSES:
-            self._reply_invalid(job)
+        verdict, reason = self._answer_verdict.classify(answer)
+        if verdict is not Verdict.RAN:
+            self._reply(job, verdict, reason, sent=True)
             return
         self._finish(
             job,
             Outcome(
                 job.frame.correlation,
-                Verdict.RAN,
-                Reason.SERVED,
-                status,
+                verdict,
+                reason,
+                answer.status,
                 answer.head,
                 answer.body,
                 self._running - 1,
@@ -393,15 +377,6 @@
             return
         self._connections.give_back(connection)
 
-    def _reply_invalid(self, job: GateJob) -> None:
-        """Reply that the target's answer proves nothing."""
-        self._reply(
-            job,
-            Verdict.MAY_HAVE_RUN,
-            Reason.TARGET_ANSWER_INVALID,
-            sent=True,
-        )
-
     def _refuse(self, job: GateJob, reason: Reason) -> None:
         self._reply(job, Verdict.NOT_RUN, reason)
 
