Keep a target within the rate that it names

What callers saw: a target in need names in its answers the requests a second that it takes from all hosts together (Server-Limit). It got as much as it had slots, up to nine requests for each that it had asked for.

Cause: nothing read the header. The gate bounds how many requests run at once, not how many arrive.

Ruled out: shares for each host. All requests to a target pass the gate of its own host, so one bucket there holds the whole rate, at 4 hosts and at 195, whichever hosts start, freeze, stop or are cut off, and wherever the callers are.

What changes: the gate counts each send against the named rate, lets the most important waiting request go first, and refuses at once, unsent, what it expects no room for in the time that the request may wait. Its outcome tells the rate and that wait. The entry tries other hosts and avoids this one meanwhile; a refusal's Retry-After covers the wait. The gate reports load against what runs at that rate, so that other targets are preferred. A new start of the target has no limit. A daemon that restarts is told the limit by the peers that had passed it on, before their first request.

Conclusion: the limit is kept where all requests meet.

--- a/packages/core/src/turmericrouter_core/verdict.py
+++ b/packages/core/src/turmericrouter_core/verdict.py
@@ -61,6 +61,7 @@
     TARGET_RETIRED = 'target-retired'
     TARGET_UNREACHABLE = 'target-unreachable'
     TARGET_SHED = 'target-shed'
+    TARGET_RATE_LIMITED = 'target-rate-limited'
     TARGET_CRASHED = 'target-crashed'
     TARGET_ANSWER_INVALID = 'target-answer-invalid'
     TARGET_ANSWER_TOO_LARGE = 'target-answer-too-large'
@@ -114,6 +115,7 @@
         Reason.TARGET_RETIRED,
         Reason.TARGET_UNREACHABLE,
         Reason.TARGET_SHED,
+        Reason.TARGET_RATE_LIMITED,
         Reason.LINK_NOT_SENT,
         Reason.DAEMON_STOPPING,
     }
--- a/packages/dataplane/src/turmericrouter_dataplane/application.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/application.py
@@ -208,6 +208,7 @@
             {
                 'config_version': self._config.version,
                 'gate_limit': self._gate.limit,
+                'target_rate_limit': self._gate.rate_limit,
                 'gate_running': self._gate.running,
                 'gate_waiting': self._gate.waiting,
                 'hosts': self._members.peers + 1,
--- a/packages/dataplane/src/turmericrouter_dataplane/call.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/call.py
@@ -1,5 +1,7 @@
 """State of a request in the daemon where it entered."""
 
+import math
+
 from turmericrouter_core.verdict import Reason
 from turmericrouter_dataplane.fleet_config import Route
 from turmericrouter_dataplane.gate_job import GateJob
@@ -24,8 +26,8 @@
         'arrived_at', 'attempt', 'correlation', 'deadline', 'digest',
         'expires_at', 'head', 'host', 'is_done',
         'is_nested', 'job', 'last_reason', 'link', 'may_have_run', 'parent',
-        'rank', 'request', 'request_id', 'route', 'sends', 'service', 'tried',
-        'workspace',
+        'rank', 'rate_wait_s', 'request', 'request_id', 'route', 'sends',
+        'service', 'tried', 'workspace',
     )  # fmt: skip
 
     def __init__(
@@ -61,3 +63,5 @@
         self.may_have_run = False
         self.is_done = False
         self.last_reason = Reason.NO_TARGET
+        # Shortest wait that a rate limit of a target asks for.
+        self.rate_wait_s = math.inf
--- a/packages/dataplane/src/turmericrouter_dataplane/dispatcher.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/dispatcher.py
@@ -44,6 +44,9 @@
 # Hosts that are tried for one request; the attempts of a route count only
 # those that sent it to their target.
 _MAX_HOSTS_TRIED = 4
+# A target over its rate limit is avoided until it takes another request, but
+# not longer, so that the end of the limit is noticed.
+_MAX_RATE_LIMIT_PAUSE_S = 0.5
 LinkLookup = Callable[[str], Link | None]
 
 
@@ -337,7 +340,14 @@
             view.waiting = outcome.waiting
             view.limit = outcome.limit
             view.reported_at = now
-        if outcome.limit:
+            view.record_rate_limit(outcome.rate_limit)
+        if outcome.reason is Reason.TARGET_RATE_LIMITED:
+            wait_s = outcome.wait_ms / 1000
+            self._chooser.avoid(
+                call.host, now + min(wait_s, _MAX_RATE_LIMIT_PAUSE_S)
+            )
+            call.rate_wait_s = min(call.rate_wait_s, wait_s)
+        elif outcome.limit:
             self._propagate_load(call, outcome.peak_load, now)
         self._chooser.finish(call.host, outcome.reason, now)
         if outcome.verdict is Verdict.RAN:
--- a/packages/dataplane/src/turmericrouter_dataplane/frames.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/frames.py
@@ -11,6 +11,7 @@
 from turmericrouter_core.verdict import Verdict
 from turmericrouter_dataplane.policy.config_order import UNKNOWN_DIGEST
 from turmericrouter_dataplane.policy.log_era import UNKNOWN_ERA
+from turmericrouter_dataplane.policy.rate_limit import NO_RATE_LIMIT
 
 _LENGTH = struct.Struct('>I')
 # Fits the largest body that a configuration may allow and its head.
@@ -18,9 +19,10 @@
 
 # Revision of the frames. A daemon closes a link on a frame that it does not
 # know, so newer frames go only to peers that report at least their revision.
-PROTOCOL_REVISION = 2
+PROTOCOL_REVISION = 3
 HANDOVER_REVISION = 1
 SUSPICION_REVISION = 2
+RATE_LIMIT_REVISION = 3
 
 
 class HostRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -149,6 +151,10 @@
             target did not run it.
         peak_load: Highest load at the gates of the request and its nested
             calls, as requests divided by the limit of the gate.
+        rate_limit: Requests a second that the target takes from all hosts
+            together; -1 if it has named no limit.
+        wait_ms: Time until the rate limit lets such a request through, if it
+            was refused for that.
     """
 
     correlation: int
@@ -162,6 +168,8 @@
     limit: int = 0
     was_sent: bool = False
     peak_load: float = 0.0
+    rate_limit: float = NO_RATE_LIMIT
+    wait_ms: int = 0
 
 
 class Cancel(msgspec.Struct, frozen=True, array_like=True, tag=4):
@@ -249,6 +257,20 @@
     host: str
 
 
+class RateLimitReport(msgspec.Struct, frozen=True, array_like=True, tag=14):
+    """Rate limit that the receiver's target had named before it restarted.
+
+    Args:
+        target_id: Id of the target's start.
+        started_at_ms: Start of the target, as in `HostRecord`.
+        rate_per_s: Requests a second.
+    """
+
+    target_id: str
+    started_at_ms: int
+    rate_per_s: float
+
+
 class Introduction(msgspec.Struct, frozen=True, array_like=True, tag=8):
     """Known hosts of the sender, for a host that has just started."""
 
@@ -269,6 +291,7 @@
     | TokenGrant
     | TokenHandover
     | Suspicion
+    | RateLimitReport
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/dataplane/src/turmericrouter_dataplane/gate.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 
 from turmericrouter_core.verdict import Reason
 from turmericrouter_core.verdict import Verdict
@@ -20,8 +21,11 @@
 from turmericrouter_dataplane.policy.gate_queue import GateQueue
 from turmericrouter_dataplane.policy.planned_stop import CutRequests
 from turmericrouter_dataplane.policy.planned_stop import StopGuard
+from turmericrouter_dataplane.policy.rate_limit import RateLimit
 from turmericrouter_dataplane.policy.target_chooser import TargetState
 from turmericrouter_dataplane.target_connections import TargetConnections
+from turmericrouter_dataplane.target_notices import TargetNotices
+from turmericrouter_dataplane.timers import Deadline
 from turmericrouter_dataplane.timers import TimerService
 
 # Fraction of the slots in use at most, since targets slow down when nearly all
@@ -65,6 +69,8 @@
         self._running = 0
         self._connections = TargetConnections(headers)
         self._limit = 0
+        self._token_timer: Deadline | None = None
+        self.notices = TargetNotices(headers, timers, log)
         self.stop_guard = StopGuard()
         self._answer_verdict = AnswerVerdict(headers)
 
@@ -85,15 +91,24 @@
 
     @property
     def limit(self) -> int:
-        """Return how many requests may run at once."""
-        return self._limit
+        """Return how many requests run at once when the target is full."""
+        return self._rate_limit.max_running(self._limit)
 
     @property
     def load(self) -> float:
         """Return the requests at the gate divided by its limit."""
         if not self._limit:
             return 0.0
-        return (self._running + len(self._queue)) / self._limit
+        return (self._running + len(self._queue)) / self.limit
+
+    @property
+    def rate_limit(self) -> float:
+        """Return the rate that the target has named, or `NO_RATE_LIMIT`."""
+        return self._rate_limit.reported_rate_per_s
+
+    @property
+    def _rate_limit(self) -> RateLimit:
+        return self.notices.rate_limit
 
     def find(self, request_id: bytes) -> GateJob | None:
         """Return the request with an id, None if it is not at the gate."""
@@ -113,6 +128,7 @@
         self._queue.capacity = max(8, self._limit)
         if before is not None and before.target_id != target.target_id:
             self._connections.close_after_use()
+        self.notices.set_target(target)
         if target.state is not TargetState.SERVING:
             for job in self._queue.clear():
                 self._refuse(job, Reason.TARGET_LEAVING)
@@ -137,7 +153,7 @@
             self._refuse(job, Reason.TARGET_LEAVING)
         elif frame.target_id and frame.target_id != target.target_id:
             self._refuse(job, Reason.TARGET_RETIRED)
-        elif self._running < self._limit:
+        elif not len(self._queue) and self._takes_one():
             self._start(job)
         else:
             self._wait(job)
@@ -196,6 +212,10 @@
         max_queue_wait_s = min(
             job.frame.max_queue_wait_ms / 1000, job.frame.remaining_ms / 1000
         )
+        token_wait_s = self._token_wait_s(job)
+        if token_wait_s > max_queue_wait_s:
+            self._refuse(job, Reason.TARGET_RATE_LIMITED)
+            return
         if max_queue_wait_s <= 0:
             self._refuse(job, Reason.SHED_AT_GATE)
             return
@@ -207,11 +227,18 @@
             )
         if evicted is not None:
             self._refuse(evicted, Reason.EVICTED)
+        self._start_next()
 
     def _expire_wait(self, job: GateJob) -> None:
         if job.phase is Phase.WAITING:
             self._queue.remove(job.frame.rank, job)
-            self._refuse(job, Reason.SHED_AT_GATE)
+            is_limited = self._rate_limit.rate_per_s is not None
+            self._refuse(
+                job,
+                Reason.TARGET_RATE_LIMITED
+                if is_limited
+                else Reason.SHED_AT_GATE,
+            )
 
     def _start(self, job: GateJob) -> None:
         # From here on, the request has a slot, which its end frees.
@@ -280,6 +307,7 @@
             return
         names = self._names
         job.phase = Phase.RUNNING
+        job.sent_at = self._timers.now()
         job.connection = connection
         job.deadline = self._timers.at(
             job.expires_at + _EXPIRY_GRACE_S, lambda: self._expire(job)
@@ -338,6 +366,8 @@
             if self._target is target:
                 self._connections.close_after_use()
             self._target_unreachable(target, 'another target answered')
+        else:
+            self.notices.read(result, target, job.sent_at)
         self._classify(job, result)
 
     def _classify(self, job: GateJob, answer: HttpResponse) -> None:
@@ -356,9 +386,10 @@
                 answer.body,
                 self._running - 1,
                 len(self._queue),
-                self._limit,
+                self.limit,
                 True,
                 job.peak_load,
+                self.rate_limit,
             ),
         )
 
@@ -388,6 +419,9 @@
         *,
         sent: bool = False,
     ) -> None:
+        wait_ms = 0
+        if reason is Reason.TARGET_RATE_LIMITED:
+            wait_ms = math.ceil(self._token_wait_s(job) * 1000)
         self._finish(
             job,
             Outcome(
@@ -396,9 +430,11 @@
                 reason,
                 running=self._running,
                 waiting=len(self._queue),
-                limit=self._limit,
+                limit=self.limit,
                 was_sent=sent,
                 peak_load=job.peak_load,
+                rate_limit=self.rate_limit,
+                wait_ms=wait_ms,
             ),
         )
 
@@ -425,15 +461,42 @@
             self._start_next()
 
     def _start_next(self) -> None:
-        while self._running < self._limit:
+        while len(self._queue) and self._takes_one():
             job = self._queue.pop()
-            if job is None:
-                return
+            assert job is not None
             refusal = self._find_refusal(job, self._remaining_ms(job))
             if refusal is None:
                 self._start(job)
             else:
                 self._refuse(job, refusal)
+        if len(self._queue) and self._running < self._limit:
+            self._wait_for_token()
+
+    def _takes_one(self) -> bool:
+        """Return whether a request may be started, and count it."""
+        return self._running < self._limit and self._rate_limit.take(
+            self._timers.now()
+        )
+
+    def _wait_for_token(self) -> None:
+        """Start waiting requests once the rate limit lets one through."""
+        if self._token_timer is not None:
+            return
+
+        def start() -> None:
+            self._token_timer = None
+            self._start_next()
+
+        now = self._timers.now()
+        self._token_timer = self._timers.at(
+            now + self._rate_limit.wait_s(0, now), start
+        )
+
+    def _token_wait_s(self, job: GateJob) -> float:
+        """Return the time until the rate limit lets a new request through."""
+        return self._rate_limit.wait_s(
+            self._queue.count_ahead(job.frame.rank), self._timers.now()
+        )
 
     def _remaining_ms(self, job: GateJob) -> int:
         """Return the time limit that the target would get now."""
--- a/packages/dataplane/src/turmericrouter_dataplane/gate_job.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate_job.py
@@ -24,7 +24,7 @@
     """One request at the gate."""
 
     __slots__ = ('connection', 'deadline', 'frame', 'wait_timer', 'peak_load',
-                 'phase', 'received_at', 'reply')  # fmt: skip
+                 'phase', 'received_at', 'reply', 'sent_at')  # fmt: skip
 
     def __init__(
         self, frame: Dispatch, reply: ReplyCallback, received_at: float
@@ -37,6 +37,7 @@
         self.deadline: Deadline | None = None
         self.wait_timer: Deadline | None = None
         self.peak_load = 0.0
+        self.sent_at = 0.0
 
     @property
     def is_done(self) -> bool:
--- a/packages/dataplane/src/turmericrouter_dataplane/header_names.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/header_names.py
@@ -16,6 +16,7 @@
         not_run: Marks an answer of a target that did not run the request.
         load: Running and waiting requests and slots of a target.
         signature: Marks an answer as made by a target.
+        rate_limit: Requests a second that a target takes from all hosts.
     """
 
     request_id: bytes
@@ -26,3 +27,4 @@
     not_run: bytes
     load: bytes
     signature: bytes
+    rate_limit: bytes
--- a/packages/dataplane/src/turmericrouter_dataplane/local_target.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/local_target.py
@@ -29,6 +29,11 @@
     started_at_ms: int = 0
     sequence: int = -1
 
+    @property
+    def start(self) -> tuple[str, int]:
+        """Return what names the present start, its id and its time."""
+        return self.target_id, self.started_at_ms
+
 
 def with_target(record: HostRecord, target: LocalTarget) -> HostRecord:
     """Return the record of a host with its present target."""
--- a/packages/dataplane/src/turmericrouter_dataplane/members.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/members.py
@@ -4,6 +4,9 @@
 import time
 from typing import Any
 
+import msgspec
+
+from turmericrouter_core.verdict import Reason
 from turmericrouter_dataplane.config_feed import ConfigFeed
 from turmericrouter_dataplane.config_sharing import ConfigSharing
 from turmericrouter_dataplane.decision_log import DecisionLog
@@ -19,6 +22,8 @@
 from turmericrouter_dataplane.frames import HostRecord
 from turmericrouter_dataplane.frames import Introduction
 from turmericrouter_dataplane.frames import Outcome
+from turmericrouter_dataplane.frames import RATE_LIMIT_REVISION
+from turmericrouter_dataplane.frames import RateLimitReport
 from turmericrouter_dataplane.frames import Status
 from turmericrouter_dataplane.frames import Suspicion
 from turmericrouter_dataplane.frames import TokenGrant
@@ -32,6 +37,7 @@
 from turmericrouter_dataplane.policy.config_order import ConfigIdentity
 from turmericrouter_dataplane.policy.crash_records import CrashRecords
 from turmericrouter_dataplane.policy.log_readers import find_log_readers
+from turmericrouter_dataplane.policy.rate_limit import NO_RATE_LIMIT
 from turmericrouter_dataplane.policy.reachable_hosts import find_reachable
 from turmericrouter_dataplane.policy.retry_budget import RetryBudget
 from turmericrouter_dataplane.policy.target_chooser import HostView
@@ -121,6 +127,7 @@
             TokenGrant: self._handle_token_grant,
             TokenHandover: self._handle_token_handover,
             Suspicion: self._handle_suspicion,
+            RateLimitReport: self._handle_rate_limit,
         }
         chooser.update(record)
         self._watched = WatchedHosts(
@@ -380,6 +387,8 @@
             self._update_reachable(time.monotonic())
         self._log.event('link_opened', peer=link.peer)
         link.send(self._status())
+        if view is not None and view.rate_limit != NO_RATE_LIMIT:
+            self._report_rate_limit(link, view)
 
     def link_closed(self, link: Link) -> None:
         """Cancel the requests of a peer that can no longer get the outcome."""
@@ -450,12 +459,37 @@
 
         def reply(outcome: Outcome) -> None:
             jobs.pop(frame.correlation, None)
-            link.send(outcome)
+            link.send(self._adapt(outcome, link))
 
         job = self._gate.submit(frame, reply)
         if not job.is_done:
             jobs[frame.correlation] = job
 
+    def _adapt(self, outcome: Outcome, link: Link) -> Outcome:
+        """Return an outcome whose reason the peer knows."""
+        if outcome.reason is not Reason.TARGET_RATE_LIMITED:
+            return outcome
+        view = self._chooser.views.get(self._peer_names.get(link, ''))
+        if view is not None and view.protocol >= RATE_LIMIT_REVISION:
+            return outcome
+        return msgspec.structs.replace(outcome, reason=Reason.SHED_AT_GATE)
+
+    def _report_rate_limit(self, link: Link, view: HostView) -> None:
+        """Tell a host that may have restarted what its target has named.
+
+        Its daemon would let all slots be used before the next answer.
+        """
+        if view.protocol >= RATE_LIMIT_REVISION:
+            target_id, started_at_ms = view.rate_limited_target
+            link.send(
+                RateLimitReport(target_id, started_at_ms, view.rate_limit)
+            )
+
+    def _handle_rate_limit(self, link: Link, frame: RateLimitReport) -> None:
+        self._gate.notices.remember_rate(
+            frame.target_id, frame.started_at_ms, frame.rate_per_s
+        )
+
     def _handle_status(self, link: Link, status: Status) -> None:
         record = status.host
         now = time.monotonic()
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/gate_queue.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/gate_queue.py
@@ -44,6 +44,14 @@
         self._size += 1
         return evicted
 
+    def count_ahead(self, rank: int) -> int:
+        """Return how many requests would run before a new one.
+
+        Args:
+            rank: Its rank.
+        """
+        return sum(len(queue) for queue in self._ranks[: rank + 1])
+
     def pop(self) -> _T | None:
         """Remove and return the next request to run, None if it is empty."""
         for queue in self._ranks:
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/retry_after.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/retry_after.py
@@ -25,10 +25,12 @@
     return first_s + random_fraction * _QUOTA_SPREAD_FRACTION * objective_s
 
 
-def after_overload(random_fraction: float) -> float:
+def after_overload(random_fraction: float, wait_s: float = 0.0) -> float:
     """Return the seconds until a caller refused by overload may retry.
 
     Args:
         random_fraction: Random fraction from 0 to 1 that spreads callers.
+        wait_s: Time until the request could be taken, if it is known.
     """
-    return _OVERLOAD_MIN_WAIT_S + random_fraction * _OVERLOAD_SPREAD_S
+    first_s = max(_OVERLOAD_MIN_WAIT_S, wait_s)
+    return first_s + random_fraction * _OVERLOAD_SPREAD_S
--- a/packages/dataplane/src/turmericrouter_dataplane/policy/target_chooser.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/policy/target_chooser.py
@@ -9,6 +9,7 @@
 
 from turmericrouter_core.verdict import Reason
 from turmericrouter_dataplane.frames import HostRecord
+from turmericrouter_dataplane.policy.rate_limit import NO_RATE_LIMIT
 
 # Load below which a target of the own failure domain is preferred. A short
 # wait there costs less than a hop to another domain.
@@ -72,6 +73,10 @@
     waiting: int = 0
     limit: int = 0
     reported_at: float = -1e9
+    # Rate that its target has named, see `Outcome`, and id and start of that
+    # target. A daemon that restarts may not know its target at first.
+    rate_limit: float = NO_RATE_LIMIT
+    rate_limited_target: tuple[str, int] = ('', 0)
     in_flight: int = 0
     failure_rate: float = 0.0
     failure_rate_at: float = 0.0
@@ -80,6 +85,14 @@
     # Id and start of the last target that was reported as leaving.
     departed_target: tuple[str, int] | None = None
 
+    def record_rate_limit(self, rate_per_s: float) -> None:
+        """Record the rate that the target has named, or `NO_RATE_LIMIT`."""
+        self.rate_limit = rate_per_s
+        self.rate_limited_target = (
+            self.record.target_id,
+            self.record.started_at_ms,
+        )
+
     def with_known_departure(self, record: HostRecord) -> HostRecord:
         """Return a record whose target is leaving if it is known to be.
 
@@ -230,6 +243,17 @@
             return Choice(None, Reason.NO_ROOM, len(usable))
         return self._select(best, usable, now)
 
+    def avoid(self, host: str, until: float) -> None:
+        """Prefer other hosts for a while.
+
+        Args:
+            host: Name of the host.
+            until: Monotonic seconds.
+        """
+        view = self._views.get(host)
+        if view is not None:
+            view.avoid_until = max(view.avoid_until, until)
+
     def finish(self, host: str, reason: Reason, now: float) -> None:
         """Update the health of a host with the result of a request."""
         view = self._views.get(host)
--- a/packages/dataplane/src/turmericrouter_dataplane/refusals.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/refusals.py
@@ -82,7 +82,12 @@
             status = 504
         else:
             status = 502
-        self._respond(call.request, status, reason)
+        wait_s = 0.0
+        if reason is Reason.TARGET_RATE_LIMITED:
+            wait_s = retry_after.after_overload(
+                self._rng.random(), call.rate_wait_s
+            )
+        self._respond(call.request, status, reason, wait_s)
         self._metrics.refuse(call.route.name, reason.value)
         if self._log.may_write('request_refused', REFUSAL_LINES_PER_S):
             self._log.decision(
--- a/tests/dataplane/dataplane_values.py
+++ b/tests/dataplane/dataplane_values.py
@@ -17,6 +17,7 @@
     not_run=b'X-Not-Run',
     load=b'X-Load',
     signature=b'X-Sign',
+    rate_limit=b'X-Rate',
 )
 
 
--- a/tests/dataplane/test_gate.py
+++ b/tests/dataplane/test_gate.py
@@ -35,11 +35,12 @@
     remaining_ms: int = 2000,
     max_queue_wait_ms: int = 1000,
     is_idempotent: bool = True,
+    rank: int = 1,
 ) -> Dispatch:
     return Dispatch(
         correlation,
         '',
-        1,
+        rank,
         is_idempotent,
         remaining_ms,
         max_queue_wait_ms,
--- a/tests/platform/standin_upstream.py
+++ b/tests/platform/standin_upstream.py
@@ -92,6 +92,8 @@
         self.slots = 20
         self.state = 'ready'
         self.is_shedding = False
+        # Requests a second that the answers name.
+        self.rate_limit: float | None = None
         self._port = port
         self._control = control
         self._sequence = 0
@@ -266,14 +268,17 @@
             return False
 
     def _make_answer(self, request_id: str, status: int = 200) -> web.Response:
+        headers = {
+            'X-Request-Id': request_id,
+            'X-Server-Signature': f'{self.upstream_id}.{request_id}',
+            'X-Server-Load': f'1,0,{self.slots}',
+        }
+        if self.rate_limit is not None:
+            headers['Server-Limit'] = f'{self.rate_limit:.1f}'
         return web.Response(
             status=status,
             body=b'answer to '
             + request_id.encode()
             + bytes(self.padding_bytes),
-            headers={
-                'X-Request-Id': request_id,
-                'X-Server-Signature': f'{self.upstream_id}.{request_id}',
-                'X-Server-Load': f'1,0,{self.slots}',
-            },
+            headers=headers,
         )
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -81,6 +81,7 @@
     frames.TokenGrant(1, 2, 3, False),
     frames.TokenHandover('east', 1.5),
     frames.Suspicion('h'),
+    frames.RateLimitReport('t', 7, 30.5),
 )
 
 
