Send nothing to a target whose answers say that it leaves

What callers saw: a target that leaves says so in all its answers (Server-Leaving: 1). Requests went on to reach it until it announced its departure, which may come late or never (DRAIN).

Cause: nothing read the header.

Ruled out: a list at each entry. The gate of the target's host sees each answer first, so it takes the header as the departure itself: it refuses new requests, tells all peers, and writes its record; what peers remember brings the departure back after a restart.

Before and after: test_target_whose_answers_say_that_it_leaves_gets_no_requests fails on (a request later than drain_s), now passes. An answer of status 421 comes from another target and is not read.

Conclusion: an answer confirms a departure as an announcement does.

--- a/packages/dataplane/src/turmericrouter_dataplane/application.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/application.py
@@ -161,6 +161,7 @@
         self._directory_sync = self._make_directory_sync()
         self._announcements = Announcements(self._target_changed, self._log)
         self._members.on_target_left = self._restore_departure
+        self._gate.notices.on_leaving = self._record_leaving
         self._callers = HttpServer(self._dispatcher, self._record_bad_request)
         self._ready = HttpServer(ReadyHandler(lambda: self.is_ready))
         self._control = HttpServer(
@@ -355,6 +356,10 @@
             record.target_id, record.started_at_ms
         )
 
+    def _record_leaving(self, target: LocalTarget) -> None:
+        """Send no more requests to a target whose answers say it leaves."""
+        self._announcements.handle_departure(TargetDeparture(target.target_id))
+
     def _target_changed(self, target: LocalTarget) -> None:
         self._gate.set_target(target)
         self._members.update_own_record(
--- a/packages/dataplane/src/turmericrouter_dataplane/header_names.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/header_names.py
@@ -17,6 +17,7 @@
         load: Running and waiting requests and slots of a target.
         signature: Marks an answer as made by a target.
         rate_limit: Requests a second that a target takes from all hosts.
+        leaving: Set to 1 in the answers of a target that leaves.
     """
 
     request_id: bytes
@@ -28,3 +29,4 @@
     load: bytes
     signature: bytes
     rate_limit: bytes
+    leaving: bytes
--- a/packages/dataplane/src/turmericrouter_dataplane/target_notices.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/target_notices.py
@@ -1,5 +1,7 @@
 """What the target of this host says of itself in its answers."""
 
+from collections.abc import Callable
+
 from turmericrouter_dataplane.decision_log import DecisionLog
 from turmericrouter_dataplane.header_names import HeaderNames
 from turmericrouter_dataplane.http_client import HttpResponse
@@ -7,9 +9,11 @@
 from turmericrouter_dataplane.policy.rate_limit import RateLimit
 from turmericrouter_dataplane.timers import TimerService
 
+_LEAVING = b'1'
+
 
 class TargetNotices:
-    """Keeps the rate limit of the target.
+    """Keeps the rate limit of the target, and notices that it leaves.
 
     Args:
         headers: Header names of the deployment.
@@ -21,6 +25,7 @@
         self, headers: HeaderNames, timers: TimerService, log: DecisionLog
     ) -> None:
         self._rate_limit_header = headers.rate_limit.lower()
+        self._leaving_header = headers.leaving.lower()
         self._signature_header = headers.signature.lower()
         self._timers = timers
         self._log = log
@@ -28,6 +33,8 @@
         self._rate_limit = RateLimit()
         # Start of a target and the rate that a peer remembers of it.
         self._remembered: tuple[tuple[str, int], float] | None = None
+        # Called with the target once its answers say that it leaves.
+        self.on_leaving: Callable[[LocalTarget], None] = lambda target: None
 
     @property
     def rate_limit(self) -> RateLimit:
@@ -71,6 +78,9 @@
         if current is None or current.start != target.start:
             return
         self._read_rate(answer, target, sent_at)
+        leaving = answer.headers.get(self._leaving_header, b'')
+        if leaving.strip() == _LEAVING:
+            self.on_leaving(current)
 
     def _read_rate(
         self, answer: HttpResponse, target: LocalTarget, sent_at: float
--- a/tests/dataplane/dataplane_values.py
+++ b/tests/dataplane/dataplane_values.py
@@ -18,6 +18,7 @@
     load=b'X-Load',
     signature=b'X-Sign',
     rate_limit=b'X-Rate',
+    leaving=b'X-Leaving',
 )
 
 
--- a/tests/dataplane/test_limited_target.py
+++ b/tests/dataplane/test_limited_target.py
@@ -1,4 +1,4 @@
-"""The gate of a target that names a rate limit."""
+"""The gate of a target that names a rate limit, or says that it leaves."""
 
 import asyncio
 from collections.abc import AsyncIterator
@@ -246,17 +246,41 @@
     asyncio.run(work())
 
 
+def test_answer_tells_that_the_target_leaves() -> None:
+    """Guards against requests to a target that has told nobody else."""
+
+    async def work() -> None:
+        target = _Target()
+        async with _run_gate(target) as (gate, _):
+            leaving: list[str] = []
+            gate.notices.on_leaving = lambda local: leaving.append(
+                local.target_id
+            )
+            caller = _Caller(gate)
+            for value in (b'0', b'', b'1'):
+                assert not leaving
+                target.headers = b'%b: %b\r\n' % (NAMES.leaving, value)
+                caller.send()
+                await caller.wait()
+            assert leaving == ['t-1']
+
+    asyncio.run(work())
+
+
 def test_address_of_another_target_tells_nothing_of_this_one() -> None:
-    """Guards against a target that is limited for another one."""
+    """Guards against a target that leaves or is limited for another one."""
 
     async def work() -> None:
         target = _Target()
         target.status = 421
-        target.headers = _name(1)
+        target.headers = b'%b: 1\r\n%b' % (NAMES.leaving, _name(1))
         async with _run_gate(target) as (gate, _):
+            leaving: list[LocalTarget] = []
+            gate.notices.on_leaving = leaving.append
             caller = _Caller(gate)
             caller.send()
             await caller.wait()
+            assert not leaving
             assert gate.rate_limit == NO_RATE_LIMIT
 
     asyncio.run(work())
--- a/tests/platform/standin_upstream.py
+++ b/tests/platform/standin_upstream.py
@@ -92,8 +92,10 @@
         self.slots = 20
         self.state = 'ready'
         self.is_shedding = False
-        # Requests a second that the answers name.
+        # Requests a second that the answers name, and whether they say that
+        # the upstream leaves.
         self.rate_limit: float | None = None
+        self.says_leaving = False
         self._port = port
         self._control = control
         self._sequence = 0
@@ -275,6 +277,8 @@
         }
         if self.rate_limit is not None:
             headers['Server-Limit'] = f'{self.rate_limit:.1f}'
+        if self.says_leaving:
+            headers['Server-Leaving'] = '1'
         return web.Response(
             status=status,
             body=b'answer to '
--- a/tests/platform/test_limited_targets.py
+++ b/tests/platform/test_limited_targets.py
@@ -1,4 +1,4 @@
-"""Targets that name a rate limit, with real daemons."""
+"""Targets that name a rate limit or say that they leave, with real daemons."""
 
 import asyncio
 from collections.abc import Sequence
@@ -15,6 +15,8 @@
 _WINDOW_S = 4.0
 _MAX_IN_WINDOW = int(1.5 * _RATE_PER_S * _WINDOW_S) + 5
 _TOLD_S = 0.5
+# A target that leaves gets nothing later than this after it has said so.
+_DRAIN_S = 2.0
 
 
 async def _load(
@@ -128,3 +130,30 @@
             assert {status for status, _ in others} == {200}
 
     asyncio.run(work())
+
+
+def test_target_whose_answers_say_that_it_leaves_gets_no_requests(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against requests to a target that announces no departure."""
+
+    async def work() -> None:
+        async with run_fleet(tmp_path, ('design', 'design', 'works')) as fleet:
+            leaving, _, entry = fleet.hosts
+            leaving.upstream.says_leaving = True
+            await _load(fleet, fleet.hosts, 1.0)
+            told_at = time.monotonic()
+            answers = await _load(fleet, fleet.hosts, 2.0)
+            assert {status for status, _ in answers} == {200}
+            leaving.kill()
+            leaving.launch()
+            await fleet.wait_for_status(leaving, '/read/again')
+            await _load(fleet, [entry], 2.0)
+            late = [
+                arrival
+                for arrival in leaving.upstream.arrivals
+                if arrival.at > told_at + _DRAIN_S
+            ]
+            assert not late
+
+    asyncio.run(work())
