Skip entries that are too deep, too large or out of range

What callers saw: nothing yet.

Numbers beyond 63 bits were accepted and then fitted neither the host's record nor a status. Address.parse took any integer as a port.

Ruled out: an end of the process; the supervisor starts the reader again, which met the same entry each time.

Conclusion: each decoder has one error; numbers and ports are checked where they enter.

--- a/packages/dataplane/src/turmericrouter_dataplane/frames.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/frames.py
@@ -12,10 +12,15 @@
 from turmericrouter_dataplane.policy.config_order import UNKNOWN_DIGEST
 from turmericrouter_dataplane.policy.log_era import UNKNOWN_ERA
 from turmericrouter_dataplane.policy.rate_limit import NO_RATE_LIMIT
+from turmericrouter_dataplane.settings import Address
 
 _LENGTH = struct.Struct('>I')
 # Fits the largest body that a configuration may allow and its head.
 MAX_FRAME_BYTES = 80 * 1024 * 1024
+# Largest values of a record's fields; see `TargetState` for the last one.
+_MAX_SLOTS = 2**31 - 1
+_MAX_STARTED_AT_MS = 2**53 - 1
+_MAX_TARGET_STATE = 2
 
 # Revision of the frames. A daemon closes a link on a frame that it does not
 # know, so newer frames go only to peers that report at least their revision.
@@ -317,9 +322,30 @@
         ProtocolError: The value is not such a record.
     """
     try:
-        return _record_decoder.decode(value)
-    except msgspec.MsgspecError as error:
+        record = _record_decoder.decode(value)
+        _check_record(record)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise ProtocolError(f'directory record: {error}') from error
+    return record
+
+
+def _check_record(record: HostRecord) -> None:
+    """Check the fields of a record that another writer may have written.
+
+    Raises:
+        ValueError: A field has a value that names no host to use.
+    """
+    Address.parse(record.address)
+    if record.target_address:
+        Address.parse(record.target_address)
+    if not record.name:
+        raise ValueError('the name is empty')
+    if not 0 <= record.slots <= _MAX_SLOTS:
+        raise ValueError(f'{record.slots} slots')
+    if not 0 <= record.state <= _MAX_TARGET_STATE:
+        raise ValueError(f'unknown state {record.state}')
+    if not 0 <= record.started_at_ms <= _MAX_STARTED_AT_MS:
+        raise ValueError(f'start at {record.started_at_ms} ms')
 
 
 class FrameReader:
@@ -347,7 +373,7 @@
                 break
             try:
                 frame = _decoder.decode(view[start + 4 : stop])
-            except msgspec.MsgspecError as error:
+            except (msgspec.MsgspecError, RecursionError) as error:
                 raise ProtocolError(f'frame: {error}') from error
             start = stop
             yield frame
--- a/packages/dataplane/src/turmericrouter_dataplane/settings.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/settings.py
@@ -2,6 +2,9 @@
 
 import dataclasses
 
+_MAX_PORT = 65535
+_MAX_PORT_DIGITS = 5
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Address:
@@ -18,9 +21,13 @@
             ValueError: The text is no such address.
         """
         ip, colon, port = text.rpartition(':')
-        if not colon or not ip:
+        is_number = port.isascii() and port.isdigit()
+        if not colon or not ip or not is_number:
             raise ValueError(f'{text!r} is not IP:PORT')
-        return cls(ip, int(port))
+        number = int(port[:_MAX_PORT_DIGITS])
+        if len(port) > _MAX_PORT_DIGITS or not 1 <= number <= _MAX_PORT:
+            raise ValueError(f'{text!r} is not IP:PORT: port out of range')
+        return cls(ip, number)
 
     def __str__(self) -> str:
         return f'{self.ip}:{self.port}'
--- a/tests/platform/standin_upstream.py
+++ b/tests/platform/standin_upstream.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
+import json
 import math
 import random
 import re
@@ -160,9 +161,18 @@
                 continue
             await asyncio.sleep(0.5)
 
+    async def announce_raw(self, body: bytes) -> int:
+        """Send bytes as an announcement; return the reply's status."""
+        url = f'http://{self._control}/-/instances/{self.upstream_id}'
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.put(url, data=body) as reply,
+        ):
+            return reply.status
+
     async def _announce(self) -> int:
         self._sequence += 1
-        url = f'http://{self._control}/-/instances/{self.upstream_id}'
         body = {
             'service': self.service,
             'address': f'127.0.0.1:{self._port}',
@@ -174,12 +184,7 @@
             'sequence': self._sequence,
             'born': self._born,
         }
-        timeout = aiohttp.ClientTimeout(total=1.0)
-        async with (
-            aiohttp.ClientSession(timeout=timeout) as session,
-            session.put(url, json=body) as reply,
-        ):
-            return reply.status
+        return await self.announce_raw(json.dumps(body).encode())
 
     async def _serve(self, request: web.Request) -> web.Response:
         wanted_id = request.headers.get('X-Target-Instance', self.upstream_id)
