--- a/packages/client/src/turmericrouter_client/log_service.py
+++ b/packages/client/src/turmericrouter_client/log_service.py
@@ -123,7 +123,10 @@
             raise LogServiceError(
                 f'log service: append answered with status {status}'
             )
-        return msgspec.json.decode(content, type=_AppendReply).offset
+        try:
+            return msgspec.json.decode(content, type=_AppendReply).offset
+        except (msgspec.MsgspecError, RecursionError) as error:
+            raise AppendUnknownError(f'log service: {error}') from error
 
     async def read(
         self,
@@ -168,7 +171,7 @@
             )
         try:
             return msgspec.json.decode(content, type=LogPage)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise LogServiceError(
                 f'log service: page cannot be decoded: {error}'
             ) from error
--- a/packages/core/src/turmericrouter_core/codec.py
+++ b/packages/core/src/turmericrouter_core/codec.py
@@ -44,7 +44,7 @@
         raise ProtocolError(f'unknown message type {code}')
     try:
         return decoder.decode(payload)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise ProtocolError(f'message type {code}: {error}') from error
 
 
--- a/packages/core/src/turmericrouter_core/config.py
+++ b/packages/core/src/turmericrouter_core/config.py
@@ -216,7 +216,7 @@
     """
     try:
         return _record_decoder.decode(payload)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise ConfigError(f'not a configuration record: {error}') from error
 
 
--- a/packages/core/src/turmericrouter_core/control.py
+++ b/packages/core/src/turmericrouter_core/control.py
@@ -66,7 +66,7 @@
     """
     try:
         return _decoder.decode(payload)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise ConfigError(f'not a control record: {error}') from error
 
 
--- a/packages/core/src/turmericrouter_core/identity.py
+++ b/packages/core/src/turmericrouter_core/identity.py
@@ -4,6 +4,8 @@
 import random
 import uuid
 
+from turmericrouter_core.port import parse_port
+
 REQUEST_ID_BITS = 128
 CONTEXT_ID_BITS = 128
 HASH_BUCKETS = 128
@@ -31,12 +33,12 @@
         """Read `IP:PORT`.
 
         Raises:
-            ValueError: The text has no port or the port is not a number.
+            ValueError: The text has no port, or one that is out of range.
         """
         ip, _, port = text.rpartition(':')
         if not ip:
             raise ValueError(f'{text!r} is not IP:PORT')
-        return cls(ip, int(port))
+        return cls(ip, parse_port(port))
 
 
 def new_request_id(rng: random.Random) -> str:
--- a/packages/daemon/src/turmericrouter_daemon/local_listener.py
+++ b/packages/daemon/src/turmericrouter_daemon/local_listener.py
@@ -138,7 +138,7 @@
         try:
             announcement = msgspec.json.decode(body, type=TargetAnnouncement)
             address = HostAddress.parse(announcement.address)
-        except (msgspec.MsgspecError, ValueError) as error:
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             return to_response(refuse(Reason.MALFORMED, detail=str(error)), '')
         self._gate.set_target(
             announcement.name,
--- a/packages/dataplane/src/turmericrouter_dataplane/settings.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/settings.py
@@ -2,8 +2,7 @@
 
 import dataclasses
 
-_MAX_PORT = 65535
-_MAX_PORT_DIGITS = 5
+from turmericrouter_core.port import parse_port
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -21,13 +20,9 @@
             ValueError: The text is no such address.
         """
         ip, colon, port = text.rpartition(':')
-        is_number = port.isascii() and port.isdigit()
-        if not colon or not ip or not is_number:
+        if not colon or not ip:
             raise ValueError(f'{text!r} is not IP:PORT')
-        number = int(port[:_MAX_PORT_DIGITS])
-        if len(port) > _MAX_PORT_DIGITS or not 1 <= number <= _MAX_PORT:
-            raise ValueError(f'{text!r} is not IP:PORT: port out of range')
-        return cls(ip, number)
+        return cls(ip, parse_port(port))
 
     def __str__(self) -> str:
         return f'{self.ip}:{self.port}'
