Notice connections to the log that have gone silent

What callers saw: a confirmed version in force only 6.4 s later, where its reader was the only one, or where the connections of all readers went silent at the same time.

Cause: open connections may go silent for good while new ones work. A read of the log ended 3.5 s after its start. The daemon then asked for the newest records over its other kept connection, which had gone silent as well, and waited 2.5 s more. Other hosts have no newer version to help with if no reader has it.

Ruled out: the lag of the copies to other hosts; the test has one host.

Conclusion: a call that fails shows that the other connection may be dead, so it is not used again.

--- a/packages/dataplane/src/turmericrouter_dataplane/http_calls.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/http_calls.py
@@ -62,6 +62,11 @@
         if self._connection is not None:
             self._connection.abort()
 
+    def close_idle(self) -> None:
+        """Close the connection unless a call is in progress on it."""
+        if self._connection is not None and not self._connection.is_busy:
+            self._connection.abort()
+
     async def _connect(self, timeout_s: float) -> HttpClientConnection:
         connection = self._connection
         if connection is not None and connection.is_open:
--- a/tests/platform/fault_proxy.py
+++ b/tests/platform/fault_proxy.py
@@ -15,7 +15,7 @@
     """Forwards one port to another, with faults that callers switch on.
 
     Args:
-        port: Port that it listens on.
+        port: Port that it listens on, 0 for any.
         target_port: Port that it forwards to.
         is_cut: Returns whether connections from a host are cut; their bytes
             are held back in both directions.
@@ -37,6 +37,15 @@
         # Whether bytes to, and bytes from, the target port are held back.
         self.holds_inbound = False
         self.holds_outbound = False
+        # Connections that were accepted earlier carry nothing any more.
+        self._silent_before = 0
+        self._accepted = 0
+
+    @property
+    def port(self) -> int:
+        """Return the port that it listens on."""
+        assert self._server is not None
+        return int(self._server.sockets[0].getsockname()[1])
 
     async def start(self) -> None:
         """Start to accept connections."""
@@ -57,6 +66,10 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def silence(self) -> None:
+        """Let open connections go silent for good; new ones work."""
+        self._silent_before = self._accepted
+
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -65,7 +78,8 @@
         except OSError:
             writer.transport.abort()
             return
-        source = _SourceHost()
+        self._accepted += 1
+        source = _SourceHost(self._accepted)
         pumps = [
             asyncio.create_task(self._pump(reader, far[1], source, True)),
             asyncio.create_task(self._pump(far[0], writer, source, False)),
@@ -93,20 +107,26 @@
                     source.feed(data)
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
-                while self._is_held(source.host, is_inbound):
+                while self._is_held(source, is_inbound):
                     await asyncio.sleep(0.02)
                 writer.write(data)
                 await writer.drain()
 
-    def _is_held(self, host: str, is_inbound: bool) -> bool:
+    def _is_held(self, source: '_SourceHost', is_inbound: bool) -> bool:
         is_held = self.holds_inbound if is_inbound else self.holds_outbound
-        return is_held or self._is_cut(host)
+        is_silent = source.number <= self._silent_before
+        return is_held or is_silent or self._is_cut(source.host)
 
 
 class _SourceHost:
-    """Finds the host that opened a connection from its first frame."""
+    """Finds the host that opened a connection from its first frame.
+
+    Args:
+        number: Number of the connection at its proxy, from 1.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, number: int) -> None:
+        self.number = number
         self.host = ''
         self._reader: FrameReader | None = FrameReader()
 
