Let the soak limit upstreams and silence connections

Four faults: an upstream names a rate limit, an upstream says in its answers alone that it leaves, a host's open links or all open connections to the store go silent while new ones work. The check of rate limits has a test that shows it a violation.

--- a/tests/platform/platform_soak.py
+++ b/tests/platform/platform_soak.py
@@ -465,6 +465,9 @@
             'drained': soak_checks.check_drained(
                 arrivals, record.drained, DRAIN_S
             ),
+            'rate limits': soak_checks.check_rate_limits(
+                arrivals, record.limits
+            ),
             'planned stops': soak_checks.check_planned_stops(
                 ended,
                 arrivals,
--- a/tests/platform/soak_checks.py
+++ b/tests/platform/soak_checks.py
@@ -12,6 +12,9 @@
 QUOTA_WINDOW_S = 5.0
 QUOTA_OVERAGE_RATIO = 0.1
 QUOTA_SLACK_RUNS = 20
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
 RETRY_WINDOW_S = 10.0
 RETRY_RATIO = 0.2
 # A request that is not passed on may end without an answer this long after it
@@ -69,6 +72,21 @@
         return self.begin <= end and begin <= self.end
 
 
+@dataclasses.dataclass(frozen=True)
+class RateLimitSpan:
+    """A rate limit that an upstream has named in its answers.
+
+    Args:
+        upstream_id: Id of the upstream.
+        span: When it binds.
+        rate_per_s: Requests a second from all hosts together.
+    """
+
+    upstream_id: str
+    span: Span
+    rate_per_s: float
+
+
 def check_answers(attempts: Iterable[Attempt]) -> list[str]:
     """Return successes whose body belongs to another request."""
     return [
@@ -201,6 +219,37 @@
     ]
 
 
+def check_rate_limits(
+    arrivals: Iterable[Arrival], limits: Iterable[RateLimitSpan]
+) -> list[str]:
+    """Return upstreams that got more requests than their limit allows.
+
+    Args:
+        arrivals: All arrivals.
+        limits: Limits that upstreams have named.
+    """
+    arrivals = list(arrivals)
+    problems = []
+    for limit in limits:
+        times = sorted(
+            a.at
+            for a in arrivals
+            if a.upstream_id == limit.upstream_id
+            and limit.span.begin <= a.at <= limit.span.end
+        )
+        counts = (_count_in_window(times, at, LIMIT_WINDOW_S) for at in times)
+        most = max(counts, default=0)
+        allowed = (
+            LIMIT_FACTOR * limit.rate_per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+        )
+        if most > allowed:
+            problems.append(
+                f'{limit.upstream_id} got {most} requests in '
+                f'{LIMIT_WINDOW_S} s; allowed {allowed:.1f}'
+            )
+    return problems
+
+
 def check_planned_stops(
     attempts: Iterable[Attempt],
     arrivals: Iterable[Arrival],
@@ -381,6 +430,8 @@
     return count - RETRY_RATIO * requests
 
 
-def _count_in_window(times: list[float], begin: float) -> int:
-    last = bisect.bisect_right(times, begin + RETRY_WINDOW_S)
+def _count_in_window(
+    times: list[float], begin: float, window_s: float = RETRY_WINDOW_S
+) -> int:
+    last = bisect.bisect_right(times, begin + window_s)
     return last - bisect.bisect_left(times, begin)
--- a/tests/platform/soak_faults.py
+++ b/tests/platform/soak_faults.py
@@ -17,6 +17,7 @@
 from platform_fleet import Host
 from platform_fleet import is_past_start
 from platform_fleet import OPERATOR_TOPIC
+from soak_checks import RateLimitSpan
 from soak_checks import Span
 from standin_store import Fault
 
@@ -24,6 +25,11 @@
 _MIN_GAP_S = 0.3
 _MAX_GAP_S = 2.5
 _DRAIN_S = 2.0
+# A limit binds this long after an answer that names it was passed on.
+_LIMIT_TOLD_S = 0.5
+_MAX_ANSWER_WAIT_S = 2.0
+# Silent connections count as a fault for this time.
+_SILENT_S = 0.5
 # Time after a return of the store without a new version, in which a version
 # that a host has skipped is found.
 _SETTLE_S = 4.0
@@ -38,6 +44,7 @@
         unplanned: Periods of faults that are not planned work.
         stops: Host and period of each planned stop.
         drained: Time by upstream id at which its drain was acknowledged.
+        limits: Rate limits that upstreams have named in their answers.
         starts: Times at which each host's daemon was started.
         problems: Stops that failed or took too long.
     """
@@ -46,6 +53,7 @@
     unplanned: list[Span] = dataclasses.field(default_factory=list)
     stops: list[tuple[str, Span]] = dataclasses.field(default_factory=list)
     drained: dict[str, float] = dataclasses.field(default_factory=dict)
+    limits: list[RateLimitSpan] = dataclasses.field(default_factory=list)
     starts: dict[str, list[float]] = dataclasses.field(default_factory=dict)
     problems: list[str] = dataclasses.field(default_factory=list)
 
@@ -106,6 +114,10 @@
             'slow_upstream': self._slow_upstream,
             'grey_upstream': self._grey_upstream,
             'drain_upstream': self._drain_upstream,
+            'leave_in_answers': self._leave_in_answers,
+            'limit_upstream': self._limit_upstream,
+            'silence_links': self._silence_links,
+            'silence_store': self._silence_store,
         }
 
     async def run(self, seconds: float, names: list[str]) -> None:
@@ -247,6 +259,20 @@
             if host is not None:
                 self._peer_proxies[host.name].reset()
 
+    async def _silence_links(self) -> None:
+        """Let a host's open links carry nothing any more."""
+        with self._take_host() as host, self._record_unplanned():
+            if host is not None:
+                self._peer_proxies[host.name].silence()
+                await asyncio.sleep(_SILENT_S)
+
+    async def _silence_store(self) -> None:
+        """Let all open connections to the store carry nothing any more."""
+        with self._record_unplanned():
+            for proxy in self._store_proxies.values():
+                proxy.silence()
+            await asyncio.sleep(_SILENT_S)
+
     async def _delay_links(self) -> None:
         with self._take_host() as host, self._record_unplanned():
             if host is None:
@@ -371,6 +397,53 @@
                 await upstream.stop()
                 await upstream.restart(self._new_id(host))
 
+    async def _leave_in_answers(self) -> None:
+        """Replace an upstream that tells in its answers that it leaves."""
+        with self._take_host() as host:
+            if host is None:
+                return
+            upstream = host.upstream
+            upstream.says_leaving = True
+            if await self._wait_for_answer(host):
+                drained = self.record.drained
+                drained[upstream.upstream_id] = time.monotonic()
+            await asyncio.sleep(_DRAIN_S + 0.5)
+            with self._record_unplanned():
+                await upstream.stop()
+                upstream.says_leaving = False
+                await upstream.restart(self._new_id(host))
+
+    async def _limit_upstream(self) -> None:
+        """Let an upstream name a rate limit for a while."""
+        with self._take_host() as host, self._record_unplanned():
+            if host is None:
+                return
+            upstream = host.upstream
+            upstream.rate_limit = self._rng.uniform(0.5, 10.0)
+            if await self._wait_for_answer(host):
+                begin = time.monotonic() + _LIMIT_TOLD_S
+                await self._sleep_random(3.0, 8.0)
+                self.record.limits.append(
+                    RateLimitSpan(
+                        upstream.upstream_id,
+                        Span(begin, time.monotonic()),
+                        upstream.rate_limit,
+                    )
+                )
+            upstream.rate_limit = None
+
+    async def _wait_for_answer(self, host: Host) -> bool:
+        """Return whether the upstream answers a request soon."""
+        begin = time.monotonic()
+        while time.monotonic() < begin + _MAX_ANSWER_WAIT_S:
+            await asyncio.sleep(0.05)
+            if any(
+                begin <= arrival.at and arrival.answered_at < time.monotonic()
+                for arrival in host.upstream.arrivals
+            ):
+                return True
+        return False
+
     def _new_id(self, host: Host) -> str:
         self._next_upstream += 1
         return f'i-{host.name}-{self._next_upstream}'
--- a/tests/platform/test_soak_checks.py
+++ b/tests/platform/test_soak_checks.py
@@ -4,6 +4,7 @@
 
 import soak_checks
 from soak_checks import Attempt
+from soak_checks import RateLimitSpan
 from soak_checks import Span
 from standin_upstream import Arrival
 
@@ -79,6 +80,17 @@
     assert not soak_checks.check_drained([ARRIVAL], drained, 3.0)
 
 
+def test_requests_beyond_a_rate_limit_are_found() -> None:
+    # 1.5 * 4 * 5 + 5 = 35 requests in 4 s.
+    limit = RateLimitSpan('i-1', Span(10.0, 20.0), 5.0)
+    allowed = [arrived(at=11.0 + number / 10) for number in range(35)]
+    assert not soak_checks.check_rate_limits(allowed, [limit])
+    assert soak_checks.check_rate_limits([*allowed, arrived(at=13.0)], [limit])
+    early = arrived(at=9.9)
+    other = arrived(at=13.0, upstream_id='i-2')
+    assert not soak_checks.check_rate_limits([*allowed, early, other], [limit])
+
+
 def check_stop(
     attempt: Attempt, arrival: Arrival = ARRIVAL, *faults: Span
 ) -> list[str]:
