--- a/tests/dataplane/test_limited_target.py
+++ b/tests/dataplane/test_limited_target.py
@@ -74,7 +74,7 @@
     """Sends requests to a gate and keeps the outcomes by rank."""
 
     def __init__(self, gate: Gate) -> None:
-        self._gate = gate
+        self.gate = gate
         self._count = 0
         self.outcomes: list[tuple[int, Outcome]] = []
 
@@ -89,7 +89,7 @@
         )
         head = frame.head + b'%b: %b\r\n' % (NAMES.request_id, request_id)
         frame = msgspec.structs.replace(frame, head=head)
-        self._gate.submit(
+        self.gate.submit(
             frame, lambda outcome: self.outcomes.append((rank, outcome))
         )
 
@@ -100,16 +100,25 @@
         return [outcome for _, outcome in self.outcomes]
 
 
+@contextlib.asynccontextmanager
+async def _run_limited(
+    rate: float,
+) -> AsyncIterator[tuple[_Target, ScriptedTarget, _Caller]]:
+    """Run a gate whose target has named a rate in an answer."""
+    target = _Target()
+    target.headers = _name(rate)
+    async with _run_gate(target) as (gate, server):
+        caller = _Caller(gate)
+        caller.send()
+        await caller.wait()
+        yield target, server, caller
+
+
 def test_target_gets_no_more_than_the_rate_that_it_names() -> None:
     """Guards against a limited target that gets as much as it has slots."""
 
     async def work() -> None:
-        target = _Target()
-        target.headers = _name(_RATE_PER_S)
-        async with _run_gate(target) as (gate, server):
-            caller = _Caller(gate)
-            caller.send()
-            await caller.wait()
+        async with _run_limited(_RATE_PER_S) as (target, server, caller):
             began_at = time.monotonic()
             while time.monotonic() < began_at + 1.5:
                 caller.send()
@@ -161,12 +170,8 @@
     """Guards against a target that stays limited after its need."""
 
     async def work() -> None:
-        target = _Target()
-        target.headers = _name(0.5)
-        async with _run_gate(target) as (gate, _):
-            caller = _Caller(gate)
-            caller.send()
-            await caller.wait()
+        async with _run_limited(0.5) as (target, server, caller):
+            gate = caller.gate
             assert gate.limit == 1
             target.headers = b''
             caller.send()
@@ -185,12 +190,8 @@
     """Guards against a limit that the target's own refusals lift."""
 
     async def work() -> None:
-        target = _Target()
-        target.headers = _name(_RATE_PER_S)
-        async with _run_gate(target) as (gate, _):
-            caller = _Caller(gate)
-            caller.send()
-            await caller.wait()
+        async with _run_limited(_RATE_PER_S) as (target, server, caller):
+            gate = caller.gate
             target.headers, target.status = b'', 503
             target.is_not_run = True
             caller.send()
@@ -205,12 +206,8 @@
     """Guards against the limit of a target that had the address before."""
 
     async def work() -> None:
-        target = _Target()
-        target.headers = _name(_RATE_PER_S)
-        async with _run_gate(target) as (gate, server):
-            caller = _Caller(gate)
-            caller.send()
-            await caller.wait()
+        async with _run_limited(_RATE_PER_S) as (target, server, caller):
+            gate = caller.gate
             gate.set_target(_local_target(server.port))
             assert gate.rate_limit == _RATE_PER_S
             gate.set_target(_local_target(server.port, started_at_ms=8))
