Decide on a limited request by one reading of the clock

What callers saw: rarely, a request that a limited target had no room for was refused as shed-at-gate, so that its Retry-After was the one after overload and its entry did not avoid the target.

Cause: the gate read the clock once to take from the rate, and again to compute the wait. If the next turn came between the two, the wait was 0 and the request, which may not wait, was refused for another reason.

Traced by reading to the two times; test_request_that_just_misses_its_turn_is_told_why plays it with a clock that advances with each reading and failed before.

After: both times are the request's arrival. The check that failed stays as it was.

--- a/packages/dataplane/src/turmericrouter_dataplane/gate.py
+++ b/packages/dataplane/src/turmericrouter_dataplane/gate.py
@@ -153,7 +153,7 @@
             self._refuse(job, Reason.TARGET_LEAVING)
         elif frame.target_id and frame.target_id != target.target_id:
             self._refuse(job, Reason.TARGET_RETIRED)
-        elif not len(self._queue) and self._takes_one():
+        elif not len(self._queue) and self._takes_one(job.received_at):
             self._start(job)
         else:
             self._wait(job)
@@ -212,7 +212,8 @@
         max_queue_wait_s = min(
             job.frame.max_queue_wait_ms / 1000, job.frame.remaining_ms / 1000
         )
-        token_wait_s = self._token_wait_s(job)
+        # The same time as for the attempt to start it, or the reason differs.
+        token_wait_s = self._token_wait_s(job, job.received_at)
         if token_wait_s > max_queue_wait_s:
             self._refuse(job, Reason.TARGET_RATE_LIMITED)
             return
@@ -421,7 +422,8 @@
     ) -> None:
         wait_ms = 0
         if reason is Reason.TARGET_RATE_LIMITED:
-            wait_ms = math.ceil(self._token_wait_s(job) * 1000)
+            wait_s = self._token_wait_s(job, self._timers.now())
+            wait_ms = max(1, math.ceil(wait_s * 1000))
         self._finish(
             job,
             Outcome(
@@ -461,7 +463,7 @@
             self._start_next()
 
     def _start_next(self) -> None:
-        while len(self._queue) and self._takes_one():
+        while len(self._queue) and self._takes_one(self._timers.now()):
             job = self._queue.pop()
             assert job is not None
             refusal = self._find_refusal(job, self._remaining_ms(job))
@@ -472,11 +474,9 @@
         if len(self._queue) and self._running < self._limit:
             self._wait_for_token()
 
-    def _takes_one(self) -> bool:
+    def _takes_one(self, now: float) -> bool:
         """Return whether a request may be started, and count it."""
-        return self._running < self._limit and self._rate_limit.take(
-            self._timers.now()
-        )
+        return self._running < self._limit and self._rate_limit.take(now)
 
     def _wait_for_token(self) -> None:
         """Start waiting requests once the rate limit lets one through."""
@@ -492,10 +492,10 @@
             now + self._rate_limit.wait_s(0, now), start
         )
 
-    def _token_wait_s(self, job: GateJob) -> float:
+    def _token_wait_s(self, job: GateJob, now: float) -> float:
         """Return the time until the rate limit lets a new request through."""
         return self._rate_limit.wait_s(
-            self._queue.count_ahead(job.frame.rank), self._timers.now()
+            self._queue.count_ahead(job.frame.rank), now
         )
 
     def _remaining_ms(self, job: GateJob) -> int:
--- a/tests/dataplane/test_limited_target.py
+++ b/tests/dataplane/test_limited_target.py
@@ -14,12 +14,14 @@
 from test_gate import make_gate
 from turmericrouter_core.verdict import Reason
 from turmericrouter_core.verdict import Verdict
+from turmericrouter_dataplane.decision_log import DecisionLog
 from turmericrouter_dataplane.frames import Outcome
 from turmericrouter_dataplane.gate import Gate
 from turmericrouter_dataplane.local_target import LocalTarget
 from turmericrouter_dataplane.policy.rate_limit import NO_RATE_LIMIT
 from turmericrouter_dataplane.policy.target_chooser import TargetState
 from turmericrouter_dataplane.settings import Address
+from turmericrouter_dataplane.timers import TimerService
 
 _RATE_PER_S = 20
 
@@ -138,6 +140,39 @@
     asyncio.run(work())
 
 
+class _SteppingTimers(TimerService):
+    """Timers whose clock advances with each reading."""
+
+    value_s = 100.0
+    step_s = 0.0
+
+    def now(self) -> float:  # type: ignore[override]
+        self.value_s += self.step_s
+        return self.value_s
+
+
+def test_request_that_just_misses_its_turn_is_told_why() -> None:
+    """Guards against another reason if the turn comes within the decision.
+
+    The reason decides on the Retry-After and on the next host.
+    """
+
+    async def work() -> None:
+        timers = _SteppingTimers(lambda name, error: None)
+        gate = Gate(NAMES, timers, DecisionLog('host'), lambda *_: None)
+        gate.set_target(_local_target(9))
+        gate.notices.remember_rate('t-1', 7, 10.0)
+        caller = _Caller(gate)
+        caller.send()
+        timers.value_s, timers.step_s = 100.0975, 0.0012
+        caller.send()
+        ((_, outcome),) = caller.outcomes
+        assert outcome.reason is Reason.TARGET_RATE_LIMITED
+        assert outcome.wait_ms >= 1
+
+    asyncio.run(work())
+
+
 def test_waiting_requests_are_sent_in_order_of_importance() -> None:
     """Guards against a limited target that serves the least important."""
 
