--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -82,19 +82,27 @@
 _used_ports: set[int] = set()
 
 
-def free_port() -> int:
-    """Return a free port below the ephemeral range, each one once."""
+def free_port(count: int = 1) -> int:
+    """Return a free port below the ephemeral range, each one once.
+
+    Args:
+        count: Number of free ports in a row; the first one is returned.
+    """
     while True:
-        port = random.randrange(12_000, 32_000)
-        if port in _used_ports:
-            continue
-        with socket.socket() as probe:
-            try:
-                probe.bind(('127.0.0.1', port))
-            except OSError:
-                continue
-        _used_ports.add(port)
-        return port
+        first = random.randrange(12_000, 32_000)
+        ports = range(first, first + count)
+        if _used_ports.isdisjoint(ports) and all(map(_is_free, ports)):
+            _used_ports.update(ports)
+            return first
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(('127.0.0.1', port))
+        except OSError:
+            return False
+    return True
 
 
 class Message:
@@ -508,7 +516,8 @@
         self.outbound = free_port()
         self.ready_port = free_port()
         self.control = free_port()
-        self.peers = free_port()
+        # The daemon also listens on the second of its internal ports.
+        self.peers = free_port(2)
         self.upstream = Upstream(f'i-{name}', service, self.control, record)
         self.process: subprocess.Popen[bytes] | None = None
         self.log = folder / f'{name}.log'
@@ -663,7 +672,11 @@
                 break
             await asyncio.sleep(0.1)
         else:
-            raise RuntimeError('the daemons did not become ready')
+            states = {
+                machine.name: machine.process and machine.process.poll()
+                for machine in self.machines
+            }
+            raise RuntimeError(f'not ready; exit statuses: {states}')
         await asyncio.sleep(5.0)
         self.record.say('all daemons are ready')
 
