--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -250,19 +250,24 @@
         body: bytes = b'',
         deadline_s: float = 5.0,
     ) -> tuple[str, Reply]:
-        """Send a request of a client; return its id and what came back."""
+        """Send a request of a client; return its id and what came back.
+
+        An empty key is not sent.
+        """
         self._next_id += 1
         request_id = f'{self._next_id:016x}'
+        headers = {
+            'Host': HOSTNAME,
+            'X-Request-Id': request_id,
+            'X-Request-Deadline': str(int(deadline_s * 1000)),
+        }
+        if key:
+            headers['Authorization'] = f'Bearer {key}'
         reply = await call(
             machine.ports['outbound'],
             method,
             path,
-            {
-                'Host': HOSTNAME,
-                'X-Request-Id': request_id,
-                'X-Request-Deadline': str(int(deadline_s * 1000)),
-                'Authorization': f'Bearer {key}',
-            },
+            headers,
             body,
             timeout_s=deadline_s,
         )
