--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -348,12 +348,18 @@
     scratch = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
 
     async def run() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, task.cancel
+        )
         store = Store(record.note)
         fleet = Fleet(scratch, record, store)
         try:
             async with asyncio.timeout(limit_s):
                 return int(await play(fleet))
-        except (CannotRun, TimeoutError) as error:
+        except (Exception, asyncio.CancelledError) as error:
+            # Status 1 says that the rule was broken, so no error may give it.
             record.note(f'the case could not run: {error!r}')
             print(f'could not run: {error!r}')
             return 2
